Driver: Wire the packages to the decision facade

Cause: the whole path needs one place that turns what peers say into events and actions into what peers hear. Change: driver library (one strand for decisions, state under read-copy-update), administration API, metrics, agaterund. Ruled out: a lock around the facade; a strand runs inline when free and never blocks a thread of the io_context.

--- /dev/null
+++ b/libraries/driver/node_driver.cc
@@ -0,0 +1,484 @@
+#include "libraries/driver/node_driver.h"
+
+#include <asio/dispatch.hpp>
+#include <asio/post.hpp>
+#include <future>
+#include <utility>
+
+#include "libraries/base/log.h"
+#include "libraries/caller/request_headers.h"
+#include "libraries/driver/state_dump.h"
+
+namespace agaterun::driver {
+
+namespace {
+
+using decision::AnswerCaller;
+using decision::Outcome;
+using decision::Reason;
+
+// An operator's read waits at most this long for the decision strand.
+constexpr Duration kAdminReadTimeout = 2s;
+
+// The answers of a drained node have this long to reach their readers.
+constexpr Duration kFlushTime = 200ms;
+
+}  // namespace
+
+NodeDriver::NodeDriver(asio::io_context& io, NodeSettings settings)
+    : io(io),
+      strand(asio::make_strand(io)),
+      settings(std::move(settings)),
+      incarnation(this->random.Next() | 1),
+      decisions({.self = this->settings.node,
+                 .incarnation = this->incarnation,
+                 .region = this->settings.region,
+                 .failure_domain = this->settings.failure_domain,
+                 .service = this->settings.service,
+                 .seeds = this->settings.seeds},
+                this->random),
+      wake_timer(this->strand) {}
+
+NodeDriver::~NodeDriver() = default;
+
+Result<std::unique_ptr<NodeDriver>> NodeDriver::Create(asio::io_context& io,
+                                                       NodeSettings settings) {
+  std::unique_ptr<NodeDriver> driver(new NodeDriver(io, std::move(settings)));
+  if (auto opened = driver->Open(); !opened) {
+    return tl::unexpected(opened.error());
+  }
+  driver->OnStrand([self = driver.get()] {
+    decision::Actions actions;
+    self->decisions.Start(self->clock.Now(), actions);
+    self->CarryOut(std::move(actions));
+  });
+  return driver;
+}
+
+Result<void> NodeDriver::Open() {
+  const http::MessageLimits limits{.body_bytes = this->settings.body_bytes};
+  auto links = node::NodeLinks::Create(
+      this->io, {.self = this->settings.node, .incarnation = this->incarnation},
+      *this);
+  if (!links) {
+    return tl::unexpected(links.error());
+  }
+  this->links = std::move(*links);
+  if (this->settings.backend_server) {
+    this->backend = backend_server::BackendClient::Create(
+        this->io,
+        {.backend_server = *this->settings.backend_server, .limits = limits},
+        *this);
+  }
+  if (this->settings.nested) {
+    auto server = caller::CallerServer::Create(
+        this->io,
+        {.listen = *this->settings.nested, .nested = true, .limits = limits},
+        this->call_ids, *this);
+    if (!server) {
+      return tl::unexpected(server.error());
+    }
+    this->nested_callers = std::move(*server);
+  }
+  auto admin = operator_interface::AdminServer::Create(
+      {.listen = this->settings.operator_address}, *this);
+  if (!admin) {
+    return tl::unexpected(admin.error());
+  }
+  this->admin = std::move(*admin);
+  this->platform_reader = std::make_unique<platform::PlatformReader>(
+      platform::PlatformReader::Options{.platform = this->settings.platform},
+      *this);
+  auto server = caller::CallerServer::Create(
+      this->io,
+      {.listen = this->settings.caller,
+       .connections = this->settings.caller_connections,
+       .limits = limits},
+      this->call_ids, *this);
+  if (!server) {
+    return tl::unexpected(server.error());
+  }
+  this->callers = std::move(*server);
+  return {};
+}
+
+void NodeDriver::OnStrand(std::function<void()> work) {
+  asio::dispatch(this->strand, std::move(work));
+}
+
+void NodeDriver::Stop(std::function<void()> on_stopped) {
+  this->OnStrand([this, on_stopped = std::move(on_stopped)]() mutable {
+    this->on_stopped = std::move(on_stopped);
+    this->leaving = true;
+    Log(LogEvent::kStopping);
+    this->callers->StopAccepting();
+    this->Handle(decision::StopRequested{});
+  });
+}
+
+void NodeDriver::Handle(const decision::Event& event) {
+  decision::Actions actions;
+  this->decisions.Handle(this->clock.Now(), event, actions);
+  this->CarryOut(std::move(actions));
+}
+
+void NodeDriver::CarryOut(decision::Actions actions) {
+  for (const auto& action : actions) {
+    std::visit([this](const auto& concrete) { this->Perform(concrete); },
+               action);
+  }
+  // Events that this node raises at itself follow one by one, never nested, so
+  // that decisions see each event whole.
+  if (this->handling) {
+    return;
+  }
+  this->handling = true;
+  while (!this->own_events.empty()) {
+    const auto event = std::move(this->own_events.front());
+    this->own_events.pop_front();
+    this->Handle(event);
+  }
+  this->handling = false;
+}
+
+// --- Callers. ---
+
+caller::CallerServer* NodeDriver::ServerOf(bool nested) {
+  return nested ? this->nested_callers.get() : this->callers.get();
+}
+
+void NodeDriver::Refuse(decision::CallId call, bool nested, Reason reason) {
+  const AnswerCaller answer{
+      .call = call, .outcome = Outcome::kNotRun, .reason = reason};
+  this->metrics.RecordCall(decision::Importance::kNormal, answer.outcome,
+                           reason, Duration{});
+  this->ServerOf(nested)->Answer(call, caller::WriteAnswer(answer));
+}
+
+void NodeDriver::OnRequest(decision::CallId call,
+                           HttpRequest request,
+                           bool nested) {
+  auto event = caller::ReadCall(call, request, nested);
+  if (!event) {
+    Log(LogEvent::kRequestRejected, {{"why", event.error().message}});
+    this->Refuse(call, nested, Reason::kMalformed);
+    return;
+  }
+  // Requests that no ticket knows end here, on the thread that read them.
+  const auto state = this->published.Read();
+  const auto service = state->FindService(event->service);
+  if (!service) {
+    this->Refuse(call, nested,
+                 state->items.empty() ? Reason::kWaitingForState
+                                      : Reason::kNoSuchService);
+    return;
+  }
+  const auto* route = decision::FindRoute(*service, event->method, event->path);
+  if (route == nullptr && event->kind == decision::VisitKind::kRun) {
+    this->Refuse(call, nested, Reason::kNoSuchRoute);
+    return;
+  }
+  StoredCall stored{
+      .request = std::make_shared<const HttpRequest>(std::move(request)),
+      .importance =
+          route != nullptr ? route->importance : decision::Importance::kNormal,
+      .arrived = this->clock.Now(),
+      .nested = nested};
+  this->OnStrand(
+      [this, stored = std::move(stored), event = std::move(*event)]() mutable {
+        this->requests.calls.emplace(event.call, std::move(stored));
+        this->Handle(std::move(event));
+      });
+}
+
+void NodeDriver::OnCallerGone(decision::CallId call) {
+  this->OnStrand(
+      [this, call] { this->Handle(decision::CallerGone{.call = call}); });
+}
+
+void NodeDriver::Perform(const AnswerCaller& action) {
+  const auto found = this->requests.calls.find(action.call);
+  if (found == this->requests.calls.end()) {
+    return;
+  }
+  const auto stored = std::move(found->second);
+  this->requests.calls.erase(found);
+  this->metrics.RecordCall(stored.importance, action.outcome, action.reason,
+                           this->clock.Now() - stored.arrived);
+  this->ServerOf(stored.nested)
+      ->Answer(action.call, caller::WriteAnswer(action));
+}
+
+// --- Other nodes. ---
+
+void NodeDriver::Perform(const decision::SendAttempt& action) {
+  const auto& attempt = action.request.attempt;
+  const auto found = this->requests.calls.find(attempt.call);
+  static const HttpRequest kEmptyRequest;
+  const bool runs = action.request.kind == decision::VisitKind::kRun;
+  if (runs && found == this->requests.calls.end()) {
+    this->own_events.emplace_back(
+        decision::AttemptLost{.attempt = attempt, .sent = false});
+    return;
+  }
+  if (action.to != this->settings.node) {
+    this->links->SendVisit(action.to, action.request,
+                           runs ? *found->second.request : kEmptyRequest);
+    return;
+  }
+  // This node's own backend server: no network between origin and gate.
+  if (runs) {
+    this->requests.visits[attempt].request = found->second.request;
+  }
+  this->own_events.emplace_back(
+      decision::VisitArrived{.from = action.to, .request = action.request});
+}
+
+void NodeDriver::Perform(const decision::CancelAttempt& action) {
+  if (action.to == this->settings.node) {
+    this->own_events.emplace_back(
+        decision::VisitCancelled{.attempt = action.attempt});
+    return;
+  }
+  this->links->CancelVisit(action.to, action.attempt);
+}
+
+void NodeDriver::Perform(const decision::ReplyToOrigin& action) {
+  const auto& reply = action.reply;
+  this->requests.visits.erase(reply.attempt);
+  this->metrics.RecordVisit(reply.outcome, reply.reason);
+  if (reply.attempt.origin == this->settings.node) {
+    this->own_events.emplace_back(
+        decision::AttemptReplied{.reply = reply, .answer = action.answer});
+    return;
+  }
+  this->links->SendReply(action.to, reply, action.answer);
+}
+
+void NodeDriver::OnVisit(NodeAddress from,
+                         decision::VisitRequest visit,
+                         HttpRequest request) {
+  auto shared = std::make_shared<const HttpRequest>(std::move(request));
+  this->OnStrand([this, from, visit = std::move(visit),
+                  shared = std::move(shared)]() mutable {
+    this->requests.visits[visit.attempt].request = std::move(shared);
+    this->Handle(
+        decision::VisitArrived{.from = from, .request = std::move(visit)});
+  });
+}
+
+void NodeDriver::OnVisitCancelled(decision::AttemptId attempt) {
+  this->OnStrand([this, attempt] {
+    this->Handle(decision::VisitCancelled{.attempt = attempt});
+    this->requests.visits.erase(attempt);
+  });
+}
+
+void NodeDriver::OnReply(decision::VisitReply reply, decision::Answer answer) {
+  this->OnStrand(
+      [this, reply = std::move(reply), answer = std::move(answer)]() mutable {
+        this->Handle(decision::AttemptReplied{.reply = std::move(reply),
+                                              .answer = std::move(answer)});
+      });
+}
+
+void NodeDriver::OnAttemptLost(decision::AttemptId attempt, bool sent) {
+  // Always posted: the links may report this from inside SendVisit, while an
+  // earlier event is still being handled.
+  asio::post(this->strand, [this, attempt, sent] {
+    this->Handle(decision::AttemptLost{.attempt = attempt, .sent = sent});
+  });
+}
+
+void NodeDriver::OnHeartbeat(decision::Heartbeat heartbeat) {
+  this->OnStrand([this, heartbeat = std::move(heartbeat)]() mutable {
+    this->Handle(
+        decision::HeartbeatReceived{.heartbeat = std::move(heartbeat)});
+  });
+}
+
+void NodeDriver::OnDigestSeen(NodeAddress peer, std::uint64_t digest) {
+  this->OnStrand([this, peer, digest] {
+    this->Handle(decision::DigestSeen{.peer = peer, .state_digest = digest});
+  });
+}
+
+void NodeDriver::OnTicketItems(NodeAddress from,
+                               std::vector<decision::TicketItemText> items) {
+  this->OnStrand([this, from, items = std::move(items)]() mutable {
+    this->Handle(
+        decision::TicketItemsReceived{.from = from, .items = std::move(items)});
+  });
+}
+
+void NodeDriver::OnTicketItemsWanted(
+    NodeAddress from,
+    std::vector<decision::TicketItemVersion> have) {
+  this->OnStrand([this, from, have = std::move(have)]() mutable {
+    this->Handle(
+        decision::TicketItemsWanted{.from = from, .have = std::move(have)});
+  });
+}
+
+void NodeDriver::Perform(const decision::SendHeartbeat& action) {
+  this->links->SendHeartbeat(action.to, action.heartbeat);
+}
+
+void NodeDriver::Perform(const decision::SendTicketItems& action) {
+  this->links->SendTicketItems(action.to, action.items);
+}
+
+void NodeDriver::Perform(const decision::RequestTicketItems& action) {
+  this->links->RequestTicketItems(action.to, action.have);
+}
+
+// --- The local backend server. ---
+
+void NodeDriver::Perform(const decision::StartBackend& action) {
+  const auto found = this->requests.visits.find(action.attempt);
+  if (found == this->requests.visits.end() || !this->backend) {
+    this->own_events.emplace_back(decision::BackendFailed{
+        .visit = action.visit, .failure = decision::BackendFailure::kNotSent});
+    return;
+  }
+  auto request = caller::ForBackendServer(*found->second.request, action.visit);
+  this->requests.visits.erase(found);
+  this->requests.started.emplace(action.visit, this->clock.Now());
+  this->backend->Start(action.visit, std::move(request));
+}
+
+void NodeDriver::Perform(const decision::AbortBackend& action) {
+  if (this->backend) {
+    this->backend->Abort(action.visit);
+  }
+}
+
+void NodeDriver::OnBackendAnswered(decision::VisitId visit,
+                                   HttpResponse response) {
+  auto answer = std::make_shared<const HttpResponse>(std::move(response));
+  asio::post(this->strand, [this, visit, answer = std::move(answer)] {
+    if (const auto started = this->requests.started.find(visit);
+        started != this->requests.started.end()) {
+      this->metrics.RecordServiceTime(this->clock.Now() - started->second);
+      this->requests.started.erase(started);
+    }
+    this->Handle(decision::BackendAnswered{.visit = visit, .answer = answer});
+  });
+}
+
+void NodeDriver::OnBackendFailed(decision::VisitId visit,
+                                 decision::BackendFailure failure) {
+  asio::post(this->strand, [this, visit, failure] {
+    this->requests.started.erase(visit);
+    this->Handle(decision::BackendFailed{.visit = visit, .failure = failure});
+  });
+}
+
+void NodeDriver::OnBackendReachable(bool reachable) {
+  asio::post(this->strand, [this, reachable] {
+    Log(reachable ? LogEvent::kBackendUp : LogEvent::kBackendDown,
+        {{"address", this->settings.backend_server->ToString()}});
+    this->Handle(decision::BackendReachable{.reachable = reachable});
+  });
+}
+
+// --- The platform. ---
+
+void NodeDriver::Perform(const decision::ReadPlatform& action) {
+  this->platform_reader->Read(action.after_number, action.watch);
+}
+
+void NodeDriver::OnTicketPublished(std::string text) {
+  this->OnStrand([this, text = std::move(text)]() mutable {
+    this->Handle(decision::TicketPublished{.text = std::move(text)});
+  });
+}
+
+void NodeDriver::OnHostList(std::vector<decision::HostListEntry> hosts) {
+  this->OnStrand([this, hosts = std::move(hosts)]() mutable {
+    this->Handle(decision::HostListReceived{.hosts = std::move(hosts)});
+  });
+}
+
+void NodeDriver::OnPlatformReadEnded(bool reached, std::uint64_t last_number) {
+  this->OnStrand([this, reached, last_number] {
+    this->Handle(decision::PlatformReadEnded{.reached = reached,
+                                             .last_number = last_number});
+  });
+}
+
+void NodeDriver::Perform(const decision::PublishState& action) {
+  this->published.Publish(action.state);
+  this->links->SetStateDigest(action.state->digest);
+  this->ready = this->decisions.Spread().Ready();
+}
+
+// --- Time, logs, the end. ---
+
+void NodeDriver::Perform(const decision::WakeAt& action) {
+  this->wake_timer.expires_at(
+      std::chrono::steady_clock::time_point(action.instant));
+  this->wake_timer.async_wait([this](const std::error_code& error) {
+    if (!error) {
+      this->Handle(decision::Tick{});
+    }
+  });
+}
+
+void NodeDriver::Perform(const decision::Report& action) {
+  Log(action.event, {{"subject", action.subject}, {"detail", action.detail}});
+}
+
+void NodeDriver::Perform(const decision::Drained& /*action*/) {
+  this->wake_timer.expires_after(kFlushTime);
+  this->wake_timer.async_wait([this](const std::error_code& /*error*/) {
+    this->links->Close();
+    Log(LogEvent::kStopped);
+    if (this->on_stopped) {
+      this->on_stopped();
+    }
+  });
+}
+
+// --- Operators. ---
+
+std::string NodeDriver::ReadOnStrand(std::function<std::string()> read) {
+  auto task =
+      std::make_shared<std::packaged_task<std::string()>>(std::move(read));
+  auto text = task->get_future();
+  asio::post(this->strand, [task] { (*task)(); });
+  if (text.wait_for(kAdminReadTimeout) != std::future_status::ready) {
+    return R"({"error":"the node is busy or stopping; ask again"})";
+  }
+  return text.get();
+}
+
+std::string NodeDriver::Health() {
+  if (this->leaving) {
+    return "leaving";
+  }
+  return this->published.Read()->items.empty() ? "waiting-for-state"
+                                               : "serving";
+}
+
+std::string NodeDriver::StateDump() {
+  return this->ReadOnStrand([this] {
+    return DumpState(
+        this->settings, this->incarnation, this->decisions,
+        {.callers = this->callers->ConnectionCount(),
+         .peers = this->links->ConnectionCount(),
+         .backend = this->backend ? this->backend->ConnectionCount() : 0,
+         .platform_calls = this->platform_reader->CallCount()},
+        this->clock.Now());
+  });
+}
+
+std::string NodeDriver::TicketsInForce() {
+  return DumpTickets(*this->published.Read());
+}
+
+std::string NodeDriver::Metrics() {
+  return this->metrics.ToText();
+}
+
+}  // namespace agaterun::driver
--- /dev/null
+++ b/libraries/driver/state_dump.h
@@ -0,0 +1,33 @@
+#ifndef LIBRARIES_DRIVER_STATE_DUMP_H_
+#define LIBRARIES_DRIVER_STATE_DUMP_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include "libraries/base/settings.h"
+#include "libraries/base/time.h"
+#include "libraries/decision/node.h"
+
+namespace agaterun::driver {
+
+struct ConnectionCounts {
+  std::size_t callers = 0;
+  std::size_t peers = 0;
+  std::size_t backend = 0;
+  std::uint64_t platform_calls = 0;
+};
+
+// The state of one node as an indented JSON object. Times are milliseconds.
+std::string DumpState(const NodeSettings& settings,
+                      std::uint64_t incarnation,
+                      const decision::Node& node,
+                      ConnectionCounts connections,
+                      Instant now);
+
+// Number, digest and name of each item in force, as an indented JSON object.
+std::string DumpTickets(const decision::TicketState& state);
+
+}  // namespace agaterun::driver
+
+#endif  // LIBRARIES_DRIVER_STATE_DUMP_H_
--- a/libraries/operator/metrics.h
+++ b/libraries/operator/metrics.h
@@ -22,10 +22,11 @@
                   decision::Reason reason,
                   Duration latency);
 
-  // A request left the backend server, or was refused before it got there.
-  void RecordVisit(decision::Outcome outcome,
-                   decision::Reason reason,
-                   Duration service_time);
+  // This node's gate gave its last word on an attempt.
+  void RecordVisit(decision::Outcome outcome, decision::Reason reason);
+
+  // The backend server gave a whole answer after this time.
+  void RecordServiceTime(Duration service_time);
 
   // Bytes of control traffic: heartbeats and ticket items.
   void RecordControlBytes(std::size_t sent, std::size_t received);
--- a/libraries/operator/placeholder.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "libraries/operator/admin_server.h"
--- /dev/null
+++ b/services/agaterund/main.cc
@@ -0,0 +1,146 @@
+#include <popt.h>
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <asio/signal_set.hpp>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "libraries/base/log.h"
+#include "libraries/base/settings.h"
+#include "libraries/driver/node_driver.h"
+
+namespace agaterun {
+
+namespace {
+
+enum ExitCode : int {
+  kSuccess = 0,
+  kFailure = 1,
+  kUsage = 2,
+  kBadSettings = 3,
+};
+
+struct Arguments {
+  std::string settings_file;
+  bool check_only = false;
+};
+
+// Reads the command line. Returns the exit code when there is nothing to run.
+std::optional<int> ReadArguments(int argc,
+                                 const char** argv,
+                                 Arguments& arguments) {
+  char* file = nullptr;
+  int check = 0;
+  int version = 0;
+  const poptOption options[] = {
+      {"settings", 's', POPT_ARG_STRING, &file, 0, "settings file (INI)",
+       "FILE"},
+      {"check", 'c', POPT_ARG_NONE, &check, 0,
+       "check the settings and exit: 0 when they are right, 3 when not",
+       nullptr},
+      {"version", 'V', POPT_ARG_NONE, &version, 0, "print the version",
+       nullptr},
+      POPT_AUTOHELP POPT_TABLEEND};
+  const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(
+      poptGetContext("agaterund", argc, argv, options, 0), &poptFreeContext);
+  if (const int parsed = poptGetNextOpt(context.get()); parsed < -1) {
+    std::fprintf(stderr, "agaterund: %s: %s; see agaterund --help\n",
+                 poptBadOption(context.get(), 0), poptStrerror(parsed));
+    return kUsage;
+  }
+  if (version != 0) {
+    std::puts("agaterund " AGATERUN_VERSION);
+    return kSuccess;
+  }
+  if (file == nullptr) {
+    std::fputs("agaterund: name a settings file with --settings FILE\n",
+               stderr);
+    return kUsage;
+  }
+  arguments.settings_file = file;
+  std::free(file);  // NOLINT(cppcoreguidelines-no-malloc): popt allocates it.
+  arguments.check_only = check != 0;
+  return std::nullopt;
+}
+
+std::optional<NodeSettings> ReadSettings(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) {
+    std::fprintf(stderr, "agaterund: can't read %s; check its name\n",
+                 path.c_str());
+    return std::nullopt;
+  }
+  std::stringstream text;
+  text << file.rdbuf();
+  auto settings = ParseSettings(text.str());
+  if (!settings) {
+    for (const auto& fault : settings.error()) {
+      std::fprintf(stderr, "%s\n", Describe(fault, path).c_str());
+    }
+    return std::nullopt;
+  }
+  return *settings;
+}
+
+int Serve(NodeSettings settings) {
+  const int thread_count = settings.threads;
+  StartLogging(settings.host, settings.log_level);
+  asio::io_context io(thread_count);
+  const auto caller = settings.caller.ToString();
+  const auto node = settings.node.ToString();
+  auto driver = driver::NodeDriver::Create(io, std::move(settings));
+  if (!driver) {
+    Log(LogEvent::kListenFailed, {{"why", driver.error().message}});
+    return kFailure;
+  }
+  Log(LogEvent::kStarted, {{"callers", caller}, {"node", node}});
+  auto work = asio::make_work_guard(io);
+  asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&](const std::error_code& error, int /*signal*/) {
+    if (!error) {
+      (*driver)->Stop([&] { io.stop(); });
+    }
+  });
+  std::vector<std::thread> threads;
+  for (int index = 1; index < thread_count; ++index) {
+    threads.emplace_back([&io] { io.run(); });
+  }
+  io.run();
+  for (auto& thread : threads) {
+    thread.join();
+  }
+  return kSuccess;
+}
+
+int Main(int argc, const char** argv) {
+  Arguments arguments;
+  if (const auto exit_code = ReadArguments(argc, argv, arguments); exit_code) {
+    return *exit_code;
+  }
+  // A peer that closes early is an error code of its write, not a signal.
+  std::signal(SIGPIPE, SIG_IGN);
+  auto settings = ReadSettings(arguments.settings_file);
+  if (!settings) {
+    return kBadSettings;
+  }
+  if (arguments.check_only) {
+    std::puts("settings are right");
+    return kSuccess;
+  }
+  return Serve(std::move(*settings));
+}
+
+}  // namespace
+
+}  // namespace agaterun
+
+int main(int argc, const char** argv) {
+  return agaterun::Main(argc, argv);
+}
