Decision: Admit, bind and end visits at the gate

The gate was a stub that counted slots. It now queues by importance with fair shares, refuses what can't be done in time, keeps an adaptive limit, announces an admission threshold, keeps bindings with their answers, and holds suspects of crashes apart. Admission knows nothing of attempts and bindings, and the binding table nothing of admission, so that each can be tested and measured alone.

A refused binding may be moved only by the one call that was told of the refusal: any other call that met the fence has told its caller that the request was not run.

--- /dev/null
+++ b/libraries/decision/admission.cc
@@ -0,0 +1,163 @@
+#include "libraries/decision/admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace agaterun::decision {
+
+namespace {
+
+// Bounds the queue in memory, whatever the slots and times.
+constexpr std::size_t kQueueCapacity = 1024;
+
+// A queue shorter than this would refuse bursts that a free slot can take.
+constexpr std::size_t kLeastQueue = 4;
+
+// Part of the queue time from which on the newest go first.
+constexpr int kNewestFirstPart = 4;
+
+}  // namespace
+
+Admission::Admission(Options options, RandomSource& random)
+    : options(options),
+      limit({.slots = 1, .adaptive = this->Enabled(Mechanism::kAdaptiveLimit)}),
+      queue({.newest_first = this->Enabled(Mechanism::kNewestFirst),
+             .fair_shares = this->Enabled(Mechanism::kFairShares)}),
+      retry_after(random) {}
+
+void Admission::SetState(const ServiceState& service,
+                         std::map<std::string, double, std::less<>> weights) {
+  this->limit.SetSlots(std::max(1, service.slots));
+  this->queue_time = service.queue_time;
+  this->queue.SetNewestFirstAfter(service.queue_time / kNewestFirstPart);
+  this->weights = std::move(weights);
+}
+
+double Admission::WeightOf(std::string_view share) const {
+  const auto found = this->weights.find(share);
+  if (found == this->weights.end() || !(found->second > 0)) {
+    return 1;
+  }
+  return found->second;
+}
+
+std::size_t Admission::QueueCapacity(Instant now) const {
+  const Duration service = this->service_times.ExpectedOfAny(now);
+  if (service <= Duration{}) {
+    return kQueueCapacity;
+  }
+  const double served =
+      ToSeconds(this->queue_time) / ToSeconds(service) * this->limit.Limit();
+  return std::clamp(static_cast<std::size_t>(std::min(served, 1e6)),
+                    kLeastQueue, kQueueCapacity);
+}
+
+bool Admission::CanFinish(Instant now,
+                          std::string_view route,
+                          Instant deadline) const {
+  if (deadline <= now) {
+    return false;
+  }
+  if (!this->Enabled(Mechanism::kDeadlineCheck)) {
+    return true;
+  }
+  return now + this->service_times.Expected(now, route) <= deadline;
+}
+
+Instant Admission::QueuedUntil(Instant now, const Candidate& candidate) const {
+  return std::min(now + this->queue_time, candidate.deadline);
+}
+
+Admission::Decision Admission::Decide(Instant now, const Candidate& candidate) {
+  this->threshold.OnArrival(now, candidate.importance, candidate.admission_key);
+  if (!this->CanFinish(now, candidate.route, candidate.deadline)) {
+    return {.reason = Reason::kDeadlineExceeded};
+  }
+  // A slot that stands free is given whatever the threshold says: the request
+  // is the probe that shows whether the overload is over.
+  if (this->running < this->limit.Limit() && this->queue.Size() == 0) {
+    return {.verdict = Verdict::kStart};
+  }
+  if (this->Enabled(Mechanism::kThreshold) &&
+      !Admits(this->threshold.Threshold(now), candidate.importance,
+              candidate.admission_key)) {
+    return {.reason = Reason::kOverloaded};
+  }
+  if (this->queue.Size() < this->QueueCapacity(now)) {
+    return {.verdict = Verdict::kQueue};
+  }
+  this->threshold.OnOverload(now);
+  if (!this->Enabled(Mechanism::kDisplacement)) {
+    return {.reason = Reason::kOverloaded};
+  }
+  const auto worst = this->queue.Worst(candidate.importance);
+  if (!worst) {
+    return {.reason = Reason::kOverloaded};
+  }
+  return {.verdict = Verdict::kQueue, .displaced = worst};
+}
+
+bool Admission::WouldAdmit(Instant now,
+                           Importance importance,
+                           std::uint16_t key) {
+  if (this->running < this->limit.Limit() && this->queue.Size() == 0) {
+    return true;
+  }
+  return Admits(this->threshold.Threshold(now), importance, key);
+}
+
+void Admission::Push(Instant now, VisitId visit, const Candidate& candidate) {
+  this->queue.Push({.visit = visit,
+                    .importance = candidate.importance,
+                    .share = std::string(candidate.share),
+                    .weight = this->WeightOf(candidate.share),
+                    .arrived = now});
+}
+
+std::optional<VisitId> Admission::Pop(Instant now) {
+  if (this->running >= this->limit.Limit()) {
+    return std::nullopt;
+  }
+  return this->queue.Pop(now);
+}
+
+void Admission::OnStart(Instant now) {
+  ++this->running;
+  this->threshold.OnStart(now);
+  this->retry_after.OnStart(now);
+}
+
+void Admission::OnFinished(Instant now,
+                           std::string_view route,
+                           Duration total,
+                           Duration own) {
+  this->service_times.Add(now, route, total);
+  this->limit.OnFinished(now, own, this->running);
+  --this->running;
+}
+
+void Admission::OnAborted(Instant now, std::string_view route, Duration total) {
+  this->service_times.AddUnfinished(now, route, total);
+  --this->running;
+}
+
+void Admission::OnNotRun(Instant now, bool shed) {
+  if (shed) {
+    this->limit.OnShed(now);
+    this->threshold.OnOverload(now);
+  }
+  --this->running;
+}
+
+Duration Admission::RetryAfterRefusal(Instant now) {
+  return this->retry_after.OnRefusal(now, this->queue.Size());
+}
+
+AdmissionThreshold Admission::Threshold(Instant now) {
+  if (!this->Enabled(Mechanism::kThreshold)) {
+    return AdmissionThreshold{};
+  }
+  return this->threshold.Threshold(now);
+}
+
+}  // namespace agaterun::decision
--- /dev/null
+++ b/libraries/decision/admission_queue.h
@@ -0,0 +1,99 @@
+#ifndef LIBRARIES_DECISION_ADMISSION_QUEUE_H_
+#define LIBRARIES_DECISION_ADMISSION_QUEUE_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "libraries/base/time.h"
+#include "libraries/decision/request_types.h"
+
+namespace agaterun::decision {
+
+// Visits that wait for a slot: importance strictly first, then fair between
+// the shares of one class, then by age within a share.
+class AdmissionQueue {
+ public:
+  struct Options {
+    // Wait from which on the newest of a share goes first.
+    Duration newest_first_after = 20ms;
+    bool newest_first = true;
+    bool fair_shares = true;
+  };
+
+  struct Entry {
+    VisitId visit;
+    Importance importance = Importance::kNormal;
+    std::string share;
+    double weight = 1;  // Of the share, positive.
+    Instant arrived{};
+  };
+
+  AdmissionQueue() : AdmissionQueue(Options{}) {}
+  explicit AdmissionQueue(Options options) : options(options) {}
+
+  void SetNewestFirstAfter(Duration wait) {
+    this->options.newest_first_after = wait;
+  }
+
+  void Push(const Entry& entry);
+
+  // Takes out the visit that goes next, or nothing.
+  std::optional<VisitId> Pop(Instant now);
+
+  // The visit to refuse first, if it is not more important than `importance`:
+  // of the least important class, of the share that waits with the most work
+  // for its weight, the oldest.
+  std::optional<VisitId> Worst(Importance importance) const;
+
+  void Remove(VisitId visit);
+
+  // Visits that wait, of classes at least as important as `importance`.
+  std::size_t SizeUpTo(Importance importance) const;
+  std::size_t Size() const { return this->positions.size(); }
+
+ private:
+  using Serial = std::uint64_t;
+
+  struct Waiting {
+    VisitId visit;
+    Instant arrived{};
+  };
+
+  struct Share {
+    double weight = 1;
+    double tag = 0;  // Virtual start time of its next visit.
+    Serial serial = 0;
+    std::map<Serial, Waiting> waiting;  // Oldest first.
+  };
+
+  struct Class {
+    double virtual_time = 0;
+    std::map<std::string, Share> shares;
+    // Shares with work, by tag; the serial breaks ties the same each run.
+    std::set<std::tuple<double, Serial, std::string>> order;
+    std::size_t size = 0;
+  };
+
+  struct Position {
+    Importance importance = Importance::kNormal;
+    std::string share;
+    Serial serial = 0;
+  };
+
+  std::map<Serial, Waiting>::const_iterator Next(Instant now,
+                                                 const Share& share) const;
+
+  Options options;
+  std::array<Class, kImportanceCount> classes;
+  std::unordered_map<VisitId, Position> positions;
+  Serial next_serial = 0;
+};
+
+}  // namespace agaterun::decision
+
+#endif  // LIBRARIES_DECISION_ADMISSION_QUEUE_H_
--- /dev/null
+++ b/libraries/decision/admission_threshold_controller.cc
@@ -0,0 +1,105 @@
+#include "libraries/decision/admission_threshold_controller.h"
+
+#include <algorithm>
+
+namespace agaterun::decision {
+
+namespace {
+
+constexpr Duration kWindow = 50ms;
+
+// Share of the counts that one window hands to the next. About 100 calls a
+// second give 5 in a window; fading over windows makes 25 of them.
+constexpr double kFading = 0.8;
+
+// Admitted beyond what was started, so that slots never lack work.
+constexpr double kHeadroom = 1.05;
+
+// Windows after which nothing of the counts is left.
+constexpr int kForgottenAfter = 64;
+
+}  // namespace
+
+void AdmissionThresholdController::OnArrival(Instant now,
+                                             Importance importance,
+                                             std::uint16_t key) {
+  this->Advance(now);
+  const int slice =
+      std::min<int>(key, kAdmissionKeys - 1) / (kAdmissionKeys / kSlices);
+  const auto index = static_cast<int>(importance) * kSlices + slice;
+  this->arrivals.at(static_cast<std::size_t>(index)) += 1;
+}
+
+void AdmissionThresholdController::OnStart(Instant now) {
+  this->Advance(now);
+  this->starts += 1;
+}
+
+void AdmissionThresholdController::OnOverload(Instant now) {
+  this->Advance(now);
+  this->overloaded = true;
+}
+
+AdmissionThreshold AdmissionThresholdController::Threshold(Instant now) {
+  this->Advance(now);
+  if (this->level == kLevels) {
+    return AdmissionThreshold{};
+  }
+  // The level is never zero: something is always let through, as a probe.
+  const int last = this->level - 1;
+  const int keys = (last % kSlices + 1) * (kAdmissionKeys / kSlices);
+  return AdmissionThreshold{.cutoff = static_cast<Importance>(last / kSlices),
+                            .keys = static_cast<std::uint16_t>(keys)};
+}
+
+void AdmissionThresholdController::Advance(Instant now) {
+  if (now - this->window_end > kForgottenAfter * kWindow) {
+    *this = AdmissionThresholdController{};
+    this->window_end = now + kWindow;
+    return;
+  }
+  while (now >= this->window_end) {
+    this->CloseWindow();
+    this->window_end += kWindow;
+  }
+}
+
+void AdmissionThresholdController::CloseWindow() {
+  if (this->overloaded) {
+    this->Lower();
+  } else if (this->level < kLevels) {
+    this->Raise();
+  }
+  this->overloaded = false;
+  this->starts *= kFading;
+  for (auto& count : this->arrivals) {
+    count *= kFading;
+  }
+}
+
+void AdmissionThresholdController::Lower() {
+  // The level below which as much arrived as could be started. One step does
+  // it, whatever the surge: a step by step descent would take longer than
+  // the queue can hold.
+  this->raise = 1;
+  const double budget = this->starts * kHeadroom;
+  double admitted = 0;
+  int fitting = 0;
+  while (fitting < kLevels) {
+    admitted += this->arrivals.at(static_cast<std::size_t>(fitting));
+    if (admitted > budget) {
+      break;
+    }
+    ++fitting;
+  }
+  this->level = std::clamp(fitting, 1, this->level);
+}
+
+void AdmissionThresholdController::Raise() {
+  // What the entry refuses is not seen here, so the demand above the level is
+  // unknown. Doubling reopens all levels within seven calm windows.
+  this->level = std::min(kLevels, this->level + this->raise);
+  this->raise = std::min(kLevels, this->raise * 2);
+}
+
+}  // namespace agaterun::decision
--- /dev/null
+++ b/libraries/decision/admission_threshold_controller.h
@@ -0,0 +1,49 @@
+#ifndef LIBRARIES_DECISION_ADMISSION_THRESHOLD_CONTROLLER_H_
+#define LIBRARIES_DECISION_ADMISSION_THRESHOLD_CONTROLLER_H_
+
+#include <array>
+#include <cstdint>
+
+#include "libraries/base/time.h"
+#include "libraries/decision/messages.h"
+
+namespace agaterun::decision {
+
+// Chooses the threshold that one gate announces, so that what it would refuse
+// is refused at the entry of the call graph. Works in fixed windows of time.
+class AdmissionThresholdController {
+ public:
+  // A request came to the gate, whether or not it is admitted.
+  void OnArrival(Instant now, Importance importance, std::uint16_t key);
+
+  // A request went to the backend server.
+  void OnStart(Instant now);
+
+  // A request was refused for want of a slot, or waited too long for one.
+  void OnOverload(Instant now);
+
+  AdmissionThreshold Threshold(Instant now);
+
+ private:
+  // Slices of admission keys per class.
+  static constexpr int kSlices = 16;
+  static constexpr int kLevels = kSlices * kImportanceCount;
+
+  void Advance(Instant now);
+  void CloseWindow();
+  void Lower();
+  void Raise();
+
+  Instant window_end{};
+  bool overloaded = false;
+  // Slices that are admitted, counted from the most important.
+  int level = kLevels;
+  int raise = 1;
+  // Arrivals by slice, and starts, fading from window to window.
+  std::array<double, kLevels> arrivals{};
+  double starts = 0;
+};
+
+}  // namespace agaterun::decision
+
+#endif  // LIBRARIES_DECISION_ADMISSION_THRESHOLD_CONTROLLER_H_
--- /dev/null
+++ b/libraries/decision/concurrency_limit.cc
@@ -0,0 +1,269 @@
+#include "libraries/decision/concurrency_limit.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+namespace agaterun::decision {
+
+namespace {
+
+// A probe changes the limit by this part of itself.
+constexpr double kStep = 0.25;
+
+// The published slots may be wrong by this factor either way.
+constexpr int kHintError = 2;
+
+constexpr int kLeastSamples = 16;
+
+// A probe without a verdict by then ends without one.
+constexpr int kMostSamples = 400;
+
+// Standard errors that a verdict must stand clear by.
+constexpr double kConfidence = 2.5;
+
+// Growth of own time per growth of the limit that tells flat from steep; the
+// two ideal cases are 0 and 1.
+constexpr double kSteepSlope = 0.5;
+
+// Own time can grow with the limit at most in proportion. Far more than that
+// means that the backend server changed in between.
+constexpr double kChangedSlope = 2.5;
+
+// Own times up to this multiple of the unloaded one are normal.
+constexpr double kNormal = 1.3;
+
+constexpr Duration kShortestRest = 500ms;
+constexpr Duration kLongestRest = 8s;
+
+// Without pressure for so long, what was learned is taken as outdated.
+constexpr Duration kForgottenAfter = 30s;
+
+constexpr Duration kShedInterval = 100ms;
+constexpr double kShedFactor = 0.9;
+
+constexpr double kUnloadedSmoothing = 0.05;
+
+// Own times of a new limit show after the requests of the old one are gone.
+constexpr int kSettlingTimes = 2;
+
+}  // namespace
+
+ConcurrencyLimit::ConcurrencyLimit(Options options)
+    : options(options),
+      base(std::max(1, options.slots)),
+      limit(std::max(1, options.slots)),
+      rest(kShortestRest) {}
+
+void ConcurrencyLimit::SetSlots(int slots) {
+  if (slots == this->options.slots) {
+    return;
+  }
+  this->options.slots = slots;
+  this->Restart();
+}
+
+void ConcurrencyLimit::Restart() {
+  *this = ConcurrencyLimit(this->options);
+}
+
+int ConcurrencyLimit::Above() const {
+  const int step =
+      std::max(1, static_cast<int>(std::lround(this->base * kStep)));
+  return std::min(this->base + step, this->options.slots * kHintError);
+}
+
+int ConcurrencyLimit::Below() const {
+  const int least = (this->options.slots + kHintError - 1) / kHintError;
+  const int lower = static_cast<int>(std::lround(this->base / (1 + kStep)));
+  return std::max({1, least, std::min(lower, this->base - 1)});
+}
+
+void ConcurrencyLimit::OnFinished(Instant now, Duration own, int running) {
+  if (!this->options.adaptive) {
+    return;
+  }
+  const double seconds = ToSeconds(own);
+  if (running * 2 <= this->limit) {
+    this->unloaded =
+        this->unloaded == 0
+            ? seconds
+            : this->unloaded + kUnloadedSmoothing * (seconds - this->unloaded);
+  }
+  if (running * 10 < this->limit * 9) {
+    // The limit does not bind: there is nothing to learn about it, and what
+    // was begun can't be compared with what comes later.
+    if (now - this->last_saturated > kForgottenAfter) {
+      const double kept = this->unloaded;
+      this->Restart();
+      this->unloaded = kept;
+      this->last_saturated = now;
+    }
+    return;
+  }
+  this->last_saturated = now;
+  if (now < this->settled_at) {
+    return;
+  }
+  auto& sample =
+      this->phase == Phase::kHold ? this->base_sample : this->probe_sample;
+  sample.Add(seconds);
+  if (sample.Count() < kLeastSamples) {
+    return;
+  }
+  switch (this->phase) {
+    case Phase::kHold:
+      this->EndHold(now);
+      break;
+    case Phase::kAbove:
+      this->EndAbove(now);
+      break;
+    case Phase::kBelow:
+      this->EndBelow(now);
+      break;
+  }
+}
+
+void ConcurrencyLimit::EnterHold(Instant now) {
+  const double mean =
+      std::max(this->base_sample.Mean(), this->probe_sample.Mean());
+  this->phase = Phase::kHold;
+  this->limit = this->base;
+  this->base_sample = {};
+  this->probe_sample = {};
+  this->settled_at =
+      now + std::chrono::duration_cast<Duration>(
+                std::chrono::duration<double>(kSettlingTimes * mean));
+}
+
+void ConcurrencyLimit::EnterProbe(Instant now, Phase phase) {
+  this->phase = phase;
+  this->limit = phase == Phase::kAbove ? this->Above() : this->Below();
+  this->probe_sample = {};
+  this->settled_at =
+      now + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+                kSettlingTimes * this->base_sample.Mean()));
+}
+
+void ConcurrencyLimit::Rest(Instant now) {
+  // A knee that was found is tested again ever less often, since each test
+  // costs a little; but it never stops being tested.
+  this->rest_until = now + this->rest;
+  this->rest = std::min(kLongestRest, this->rest * 2);
+  this->EnterHold(now);
+}
+
+ConcurrencyLimit::Verdict ConcurrencyLimit::Compare(
+    const OwnTimeSample& low,
+    const OwnTimeSample& high) const {
+  const double step =
+      std::abs(static_cast<double>(this->limit) / this->base - 1);
+  if (low.Mean() <= 0 || step == 0) {
+    return Verdict::kUndecided;
+  }
+  const double ratio = high.Mean() / low.Mean();
+  const double slope = (ratio - 1) / step;
+  const double error =
+      ratio * std::sqrt(low.RelativeVariance() + high.RelativeVariance()) /
+      step * kConfidence;
+  if (std::abs(slope) - error > kChangedSlope) {
+    return Verdict::kChanged;
+  }
+  if (slope + error < kSteepSlope) {
+    return Verdict::kFlat;
+  }
+  if (slope - error > kSteepSlope) {
+    return Verdict::kSteep;
+  }
+  return Verdict::kUndecided;
+}
+
+void ConcurrencyLimit::EndHold(Instant now) {
+  if (this->base_sample.Count() >= kMostSamples) {
+    // Old values would hide a change of the backend server.
+    this->base_sample = {};
+    return;
+  }
+  if (now < this->rest_until) {
+    return;
+  }
+  const bool normal = this->unloaded > 0 &&
+                      this->base_sample.Mean() <= kNormal * this->unloaded;
+  if (!normal && this->Below() < this->base) {
+    this->EnterProbe(now, Phase::kBelow);
+  } else if (this->Above() > this->base) {
+    this->EnterProbe(now, Phase::kAbove);
+  }
+}
+
+void ConcurrencyLimit::EndAbove(Instant now) {
+  const bool last = this->probe_sample.Count() >= kMostSamples;
+  switch (this->Compare(this->base_sample, this->probe_sample)) {
+    case Verdict::kFlat:
+      this->base = this->limit;
+      this->base_sample = this->probe_sample;
+      this->rest = kShortestRest;
+      if (this->Above() > this->base) {
+        this->EnterProbe(now, Phase::kAbove);
+      } else {
+        this->Rest(now);
+      }
+      return;
+    case Verdict::kSteep:
+    case Verdict::kChanged:
+      this->Rest(now);
+      return;
+    case Verdict::kUndecided:
+      if (last) {
+        this->Rest(now);
+      }
+      return;
+  }
+}
+
+void ConcurrencyLimit::EndBelow(Instant now) {
+  const bool last = this->probe_sample.Count() >= kMostSamples;
+  switch (this->Compare(this->probe_sample, this->base_sample)) {
+    case Verdict::kSteep:
+      this->base = this->limit;
+      this->base_sample = this->probe_sample;
+      this->rest = kShortestRest;
+      if (this->Below() < this->base) {
+        this->EnterProbe(now, Phase::kBelow);
+      } else {
+        this->Rest(now);
+      }
+      return;
+    case Verdict::kFlat:
+      // Not the concurrency makes it slow: the way up may be open.
+      this->limit = this->base;
+      if (this->Above() > this->base) {
+        this->EnterProbe(now, Phase::kAbove);
+      } else {
+        this->Rest(now);
+      }
+      return;
+    case Verdict::kChanged:
+      this->Rest(now);
+      return;
+    case Verdict::kUndecided:
+      if (last) {
+        this->Rest(now);
+      }
+      return;
+  }
+}
+
+void ConcurrencyLimit::OnShed(Instant now) {
+  if (!this->options.adaptive || now - this->last_shed < kShedInterval) {
+    return;
+  }
+  this->last_shed = now;
+  const int least = (this->options.slots + kHintError - 1) / kHintError;
+  this->base = std::max(
+      {1, least, static_cast<int>(std::floor(this->base * kShedFactor))});
+  this->rest = kShortestRest;
+  this->Rest(now);
+}
+
+}  // namespace agaterun::decision
--- a/libraries/decision/gate.cc
+++ b/libraries/decision/gate.cc
@@ -1,172 +1,300 @@
 #include "libraries/decision/gate.h"
 
+#include <algorithm>
+
 namespace agaterun::decision {
 
+namespace {
+
+Admission::Candidate CandidateOf(const VisitRequest& request,
+                                 Instant deadline) {
+  return {.route = request.route,
+          .share = request.share,
+          .importance = request.importance,
+          .admission_key = request.admission_key,
+          .deadline = deadline};
+}
+
+}  // namespace
+
 Gate::Gate(Options options, RandomSource& random)
     : options(std::move(options)),
-      random(random),
-      state(std::make_shared<TicketState>()) {}
+      state(std::make_shared<TicketState>()),
+      visits(random),
+      admission({.disabled = this->options.disabled}, random),
+      bindings({.self = this->options.self,
+                .incarnation = this->options.incarnation},
+               random) {}
 
 void Gate::SetState(Instant /*now*/, std::shared_ptr<const TicketState> state) {
   this->state = std::move(state);
+  this->service = this->state->FindService(this->options.service);
+  if (this->service == nullptr) {
+    return;
+  }
+  this->issues_bindings = std::ranges::any_of(
+      this->service->routes,
+      [](const RouteState& route) { return !route.idempotent; });
+  std::map<std::string, double, std::less<>> weights;
+  for (const auto& [name, item] : this->state->items) {
+    if (item.policy != nullptr) {
+      weights.insert(item.policy->share_weights.begin(),
+                     item.policy->share_weights.end());
+    }
+  }
+  this->admission.SetState(*this->service, std::move(weights));
 }
 
 void Gate::OnVisitArrived(Instant now,
                           const VisitArrived& event,
                           Actions& actions) {
-  const auto service = this->state->FindService(this->options.service);
-  const auto refuse = [&](Reason reason) {
-    actions.push_back(ReplyToOrigin{
-        .to = event.from,
-        .reply = VisitReply{.attempt = event.request.attempt,
-                            .outcome = Outcome::kNotRun,
-                            .reason = reason,
-                            .unspent_allowance = event.request.allowance,
-                            .load = this->Load()}});
-  };
-  if (!service || event.request.service != this->options.service) {
-    refuse(Reason::kNoSuchService);
-    return;
+  switch (event.request.kind) {
+    case VisitKind::kRun:
+      this->Run(now, event, actions);
+      break;
+    case VisitKind::kIssueBinding:
+      this->IssueBinding(now, event, actions);
+      break;
+    case VisitKind::kQueryBinding:
+      this->QueryBinding(now, event, actions);
+      break;
+    case VisitKind::kMoveBinding:
+      this->MoveBinding(now, event, actions);
+      break;
+  }
+  this->ReportShedding(now, actions);
+}
+
+Reason Gate::Closed(const VisitRequest& request) const {
+  if (this->service == nullptr || request.service != this->options.service) {
+    return Reason::kNoSuchService;
   }
   if (this->leaving) {
-    refuse(Reason::kLeaving);
+    return Reason::kLeaving;
+  }
+  return this->backend_up ? Reason::kNone : Reason::kBackendDown;
+}
+
+bool Gate::IsIdempotent(const VisitRequest& request) const {
+  if (!request.idempotent || this->service == nullptr) {
+    return request.idempotent;
+  }
+  // While a ticket spreads, origin and gate may know different ones. The
+  // stricter view holds; a route that this gate lacks comes from a newer one.
+  const auto route = std::ranges::find(this->service->routes, request.route,
+                                       &RouteState::name);
+  return route == this->service->routes.end() || route->idempotent;
+}
+
+void Gate::Run(Instant now, const VisitArrived& event, Actions& actions) {
+  const auto& request = event.request;
+  if (this->visits.FindAttempt(request.attempt)) {
+    return;  // A second copy of the frame: the one reply is still to come.
+  }
+  if (request.binding) {
+    if (this->CheckBinding(now, event, actions)) {
+      this->Admit(now, event, actions);
+    }
+    return;
+  }
+  if (!this->IsIdempotent(request)) {
+    this->Reply(
+        now, WaiterOf(event), request.allowance,
+        {.outcome = Outcome::kNotRun, .reason = Reason::kBindingRequired},
+        nullptr, actions);
+    return;
+  }
+  this->Admit(now, event, actions);
+}
+
+void Gate::Admit(Instant now, const VisitArrived& event, Actions& actions) {
+  const auto& request = event.request;
+  const auto candidate = CandidateOf(request, now + request.remaining);
+  if (const auto reason = this->Closed(request); reason != Reason::kNone) {
+    this->Refuse(now, event, reason, actions);
     return;
   }
-  if (this->visits.size() >= static_cast<std::size_t>(service->slots)) {
-    refuse(Reason::kOverloaded);
+  if (this->suspects.IsConvicted(now, request.fingerprint)) {
+    this->Refuse(now, event, Reason::kConvicted, actions);
     return;
   }
-  const VisitId visit{.high = this->random.Next(), .low = this->random.Next()};
-  this->visits.emplace(visit, Visit{.from = event.from,
-                                    .request = event.request,
-                                    .deadline = now + event.request.remaining});
-  actions.push_back(StartBackend{.visit = visit,
-                                 .attempt = event.request.attempt,
-                                 .remaining = event.request.remaining});
-}
-
-void Gate::End(Instant now,
-               VisitId visit,
-               VisitReply reply,
-               Answer answer,
-               Actions& actions) {
-  const auto found = this->visits.find(visit);
-  if (found == this->visits.end()) {
+  const bool suspect = this->suspects.IsSuspect(now, request.fingerprint);
+  if (suspect && this->suspects_in_flight > 0) {
+    // Alone among suspects, so that a crash tells which of them it was.
+    this->Refuse(now, event, Reason::kSuspect, actions);
     return;
   }
-  reply.attempt = found->second.request.attempt;
-  reply.load = this->Load();
-  actions.push_back(ReplyToOrigin{.to = found->second.from,
-                                  .reply = std::move(reply),
-                                  .answer = std::move(answer)});
-  this->visits.erase(found);
-  if (this->observer != nullptr) {
-    this->observer->OnVisitEnded(now, visit, actions);
+  const auto decision = this->admission.Decide(now, candidate);
+  if (decision.verdict == Admission::Verdict::kRefuse) {
+    this->Refuse(now, event, decision.reason, actions);
+    return;
+  }
+  if (decision.displaced) {
+    this->EndNotRun(now, *decision.displaced, Reason::kOverloaded, actions);
+  }
+  Visit visit{.request = request,
+              .waiters = {WaiterOf(event)},
+              .arrived = now,
+              .deadline = candidate.deadline,
+              .due = this->admission.QueuedUntil(now, candidate),
+              .allowance = RetryAllowance({.retries = request.allowance}),
+              .suspect = suspect};
+  this->suspects_in_flight += suspect ? 1 : 0;
+  const VisitId id = this->visits.Add(std::move(visit));
+  if (request.binding) {
+    this->bindings.Activate(*request.binding, request.fingerprint, id);
+  }
+  if (decision.verdict == Admission::Verdict::kStart) {
+    this->Start(now, id, actions);
+  } else {
+    this->admission.Push(now, id, candidate);
+  }
+}
+
+void Gate::Start(Instant now, VisitId id, Actions& actions) {
+  auto& visit = *this->visits.Find(id);
+  visit.phase = VisitPhase::kRunning;
+  visit.time.Start(now);
+  this->visits.SetDue(id, visit.deadline);
+  this->admission.OnStart(now);
+  // The request is kept under the attempt that still waits for it; an earlier
+  // one may have been cancelled after others joined it.
+  actions.push_back(StartBackend{.visit = id,
+                                 .attempt = visit.waiters.front().attempt,
+                                 .remaining = visit.deadline - now});
+}
+
+void Gate::Pump(Instant now, Actions& actions) {
+  while (const auto id = this->admission.Pop(now)) {
+    const auto& visit = *this->visits.Find(*id);
+    if (this->admission.CanFinish(now, visit.request.route, visit.deadline)) {
+      this->Start(now, *id, actions);
+    } else {
+      this->EndNotRun(now, *id, Reason::kDeadlineExceeded, actions);
+    }
   }
 }
 
 void Gate::OnVisitCancelled(Instant now,
                             const VisitCancelled& event,
                             Actions& actions) {
-  for (const auto& [id, visit] : this->visits) {
-    if (visit.request.attempt == event.attempt) {
-      actions.push_back(AbortBackend{.visit = id});
-      this->End(now, id, VisitReply{.reason = Reason::kCancelled}, nullptr,
+  const auto id = this->visits.FindAttempt(event.attempt);
+  if (!id) {
+    return;
+  }
+  const auto& visit = *this->visits.Find(*id);
+  if (visit.waiters.size() > 1) {
+    const auto waiter =
+        *std::ranges::find(visit.waiters, event.attempt, &VisitWaiter::attempt);
+    this->visits.RemoveWaiter(*id, event.attempt);
+    this->Reply(now, waiter, 0, {.reason = Reason::kCancelled}, nullptr,
                 actions);
-      return;
-    }
+    return;
+  }
+  if (visit.phase == VisitPhase::kQueued) {
+    this->EndNotRun(now, *id, Reason::kCancelled, actions);
+    return;
   }
+  if (!this->IsIdempotent(visit.request)) {
+    // The caller may ask again under the same binding: the answer is kept.
+    this->Abandon(now, *id, Reason::kCancelled, actions);
+    return;
+  }
+  actions.push_back(AbortBackend{.visit = *id});
+  this->EndUnknown(now, *id, Reason::kCancelled, actions);
 }
 
 void Gate::OnBackendAnswered(Instant now,
                              const BackendAnswered& event,
                              Actions& actions) {
-  this->End(now, event.visit, VisitReply{.outcome = Outcome::kCompleted},
-            event.answer, actions);
+  const auto* visit = this->visits.Find(event.visit);
+  if (visit == nullptr || visit->phase == VisitPhase::kQueued) {
+    return;
+  }
+  const auto& binding = visit->request.binding;
+  if (this->service != nullptr && this->service->shed_status != 0 &&
+      event.answer->status == this->service->shed_status) {
+    this->admission.OnNotRun(now, /*shed=*/true);
+    this->EndNotRun(now, event.visit, Reason::kOverloaded, actions);
+  } else {
+    this->admission.OnFinished(now, visit->request.route,
+                               visit->time.Total(now), visit->time.Own(now));
+    this->suspects.OnCompleted(visit->request.fingerprint);
+    if (binding) {
+      this->bindings.Finish(*binding, event.answer);
+    }
+    this->Conclude(now, event.visit,
+                   {.outcome = Outcome::kCompleted, .answer = event.answer},
+                   actions);
+  }
+  this->Pump(now, actions);
+  this->ReportShedding(now, actions);
 }
 
 void Gate::OnBackendFailed(Instant now,
                            const BackendFailed& event,
                            Actions& actions) {
-  const bool sent = event.failure != BackendFailure::kNotSent;
-  this->End(now, event.visit,
-            VisitReply{
-                .outcome = sent ? Outcome::kUnknown : Outcome::kNotRun,
-                .reason = sent ? Reason::kBackendFailed : Reason::kBackendDown},
-            nullptr, actions);
+  const auto* visit = this->visits.Find(event.visit);
+  if (visit == nullptr || visit->phase == VisitPhase::kQueued) {
+    return;
+  }
+  switch (event.failure) {
+    case BackendFailure::kNotSent:
+      this->admission.OnNotRun(now, /*shed=*/false);
+      this->EndNotRun(now, event.visit, Reason::kBackendDown, actions);
+      this->Pump(now, actions);
+      return;
+    case BackendFailure::kBroken: {
+      const auto findings = this->suspects.OnBroken(
+          now, visit->request.fingerprint, visit->suspect);
+      this->ReportFindings(findings, actions);
+      this->EndUnknown(now, event.visit, Reason::kBackendFailed, actions);
+      return;
+    }
+    case BackendFailure::kAborted:
+      this->EndUnknown(now, event.visit, Reason::kBackendFailed, actions);
+      return;
+  }
 }
 
-void Gate::OnBackendReachable(Instant /*now*/,
+void Gate::OnBackendReachable(Instant now,
                               const BackendReachable& event,
-                              Actions& /*actions*/) {
+                              Actions& actions) {
   this->backend_up = event.reachable;
+  if (event.reachable) {
+    this->Pump(now, actions);
+    return;
+  }
+  this->ReportFindings(this->suspects.OnBackendDown(now), actions);
+  // What waits here can be run elsewhere at once.
+  for (const auto id : this->visits.InPhase(VisitPhase::kQueued)) {
+    this->EndNotRun(now, id, Reason::kBackendDown, actions);
+  }
 }
 
 void Gate::OnConvicted(
-    Instant /*now*/,
-    const std::vector<std::pair<std::uint64_t, Duration>>& /*convicted*/) {}
+    Instant now,
+    const std::vector<std::pair<std::uint64_t, Duration>>& convicted) {
+  for (const auto& [fingerprint, time] : convicted) {
+    this->suspects.Convict(now, fingerprint, time);
+  }
+}
 
 void Gate::StartLeaving(Instant /*now*/, Actions& /*actions*/) {
+  // What is queued was taken on and is finished like what runs; the queue
+  // time bounds how long that can last.
   this->leaving = true;
 }
 
 void Gate::OnTick(Instant now, Actions& actions) {
-  std::vector<VisitId> expired;
-  for (const auto& [id, visit] : this->visits) {
-    if (visit.deadline <= now) {
-      expired.push_back(id);
+  for (const auto id : this->visits.DueAt(now)) {
+    // Ending one visit starts others, whose due instants lie ahead.
+    if (const auto* visit = this->visits.Find(id);
+        visit != nullptr && visit->due <= now) {
+      this->EndDue(now, id, actions);
     }
   }
-  for (const auto id : expired) {
-    actions.push_back(AbortBackend{.visit = id});
-    this->End(now, id, VisitReply{.reason = Reason::kDeadlineExceeded}, nullptr,
-              actions);
-  }
-}
-
-std::optional<Instant> Gate::NextWake() const {
-  std::optional<Instant> next;
-  for (const auto& [id, visit] : this->visits) {
-    next = next ? std::min(*next, visit.deadline) : visit.deadline;
-  }
-  return next;
-}
-
-LoadReport Gate::Load() const {
-  return LoadReport{.running = static_cast<std::uint32_t>(this->visits.size()),
-                    .leaving = this->leaving,
-                    .backend_up = this->backend_up};
+  this->ReportShedding(now, actions);
 }
 
-std::vector<std::pair<std::uint64_t, Duration>> Gate::Convicted(
-    Instant /*now*/) const {
-  return {};
-}
-
-std::optional<ParentVisit> Gate::FindParent(VisitId visit) const {
-  const auto found = this->visits.find(visit);
-  if (found == this->visits.end()) {
-    return std::nullopt;
-  }
-  const auto& [from, request, deadline] = found->second;
-  return ParentVisit{.importance = request.importance,
-                     .deadline = deadline,
-                     .admission_key = request.admission_key,
-                     .request_id = request.request_id,
-                     .share = request.share};
-}
-
-int Gate::LendAllowance(VisitId /*visit*/, int /*wanted*/) {
-  return 0;
-}
-
-void Gate::NestedCallStarted(Instant /*now*/, VisitId /*visit*/) {}
-
-void Gate::NestedCallEnded(
-    Instant /*now*/,
-    VisitId /*visit*/,
-    int /*unspent*/,
-    const std::vector<std::pair<std::string, AdmissionThreshold>>&
-    /*thresholds*/) {}
-
 }  // namespace agaterun::decision
--- a/libraries/decision/gate.h
+++ b/libraries/decision/gate.h
@@ -4,13 +4,17 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <utility>
 #include <vector>
 
 #include "libraries/base/random.h"
+#include "libraries/decision/admission.h"
+#include "libraries/decision/binding_table.h"
 #include "libraries/decision/events.h"
+#include "libraries/decision/mechanism.h"
 #include "libraries/decision/parent_visits.h"
+#include "libraries/decision/suspect_table.h"
+#include "libraries/decision/visit_table.h"
 
 namespace agaterun::decision {
 
@@ -22,6 +26,8 @@
     NodeAddress self;
     std::uint64_t incarnation = 0;
     std::string service;  // Of the backend server on this host.
+    // Switched off, to measure what each is worth.
+    MechanismSet disabled = {};
   };
 
   // `random` outlives the gate.
@@ -55,16 +61,23 @@
   void OnTick(Instant now, Actions& actions);
 
   // Earliest instant at which OnTick has work, or nothing.
-  std::optional<Instant> NextWake() const;
+  std::optional<Instant> NextWake() const { return this->visits.EarliestDue(); }
 
   // What this node tells others of itself.
   LoadReport Load() const;
 
   // Convicted fingerprints with the time until each is forgiven, to spread.
-  std::vector<std::pair<std::uint64_t, Duration>> Convicted(Instant now) const;
+  std::vector<std::pair<std::uint64_t, Duration>> Convicted(Instant now) const {
+    return this->suspects.Convicted(now);
+  }
+
+  // The threshold in force here.
+  AdmissionThreshold Threshold(Instant now) {
+    return this->admission.Threshold(now);
+  }
 
   // Visits without their last word, queued ones included.
-  std::size_t VisitsInFlight() const { return this->visits.size(); }
+  std::size_t VisitsInFlight() const { return this->visits.Size(); }
 
   std::optional<ParentVisit> FindParent(VisitId visit) const override;
   int LendAllowance(VisitId visit, int wanted) override;
@@ -77,25 +90,74 @@
       override;
 
  private:
-  struct Visit {
-    NodeAddress from;
-    VisitRequest request;
-    Instant deadline{};
+  // What a reply says of the outcome.
+  struct Word {
+    Outcome outcome = Outcome::kUnknown;
+    Reason reason = Reason::kNone;
+    Answer answer;
+    std::optional<Binding> moved_to;
   };
 
-  void End(Instant now,
-           VisitId visit,
-           VisitReply reply,
-           Answer answer,
-           Actions& actions);
+  void Run(Instant now, const VisitArrived& event, Actions& actions);
+  // True when the binding lets the request go on to admission.
+  bool CheckBinding(Instant now, const VisitArrived& event, Actions& actions);
+  void Join(Instant now,
+            const VisitArrived& event,
+            VisitId id,
+            Actions& actions);
+  void IssueBinding(Instant now, const VisitArrived& event, Actions& actions);
+  void QueryBinding(Instant now, const VisitArrived& event, Actions& actions);
+  void MoveBinding(Instant now, const VisitArrived& event, Actions& actions);
+
+  // Why no request can be taken just now, or kNone.
+  Reason Closed(const VisitRequest& request) const;
+  bool IsIdempotent(const VisitRequest& request) const;
+
+  void Admit(Instant now, const VisitArrived& event, Actions& actions);
+  // Starts a visit at the backend server.
+  void Start(Instant now, VisitId id, Actions& actions);
+  // Starts queued visits while slots are free.
+  void Pump(Instant now, Actions& actions);
+
+  // Fences the request's binding and answers kNotRun.
+  void Refuse(Instant now,
+              const VisitArrived& event,
+              Reason reason,
+              Actions& actions);
+  // A visit that was not run gets its last word.
+  void EndNotRun(Instant now, VisitId id, Reason reason, Actions& actions);
+  // A running visit's outcome can't be told any more.
+  void EndUnknown(Instant now, VisitId id, Reason reason, Actions& actions);
+  // The waiting origins get their last word while the visit runs on.
+  void Abandon(Instant now, VisitId id, Reason reason, Actions& actions);
+  void EndDue(Instant now, VisitId id, Actions& actions);
+  // Takes the visit out and gives its last word.
+  void Conclude(Instant now, VisitId id, const Word& word, Actions& actions);
+
+  void Reply(Instant now,
+             const VisitWaiter& waiter,
+             int unspent,
+             const Word& word,
+             const Visit* visit,
+             Actions& actions);
+  std::optional<Binding> NextBinding(Instant now, const Word& word);
+  void ReportFindings(const SuspectTable::Findings& findings,
+                      Actions& actions) const;
+  void ReportShedding(Instant now, Actions& actions);
 
   Options options;
-  RandomSource& random;
   VisitObserver* observer = nullptr;
   std::shared_ptr<const TicketState> state;
-  std::unordered_map<VisitId, Visit> visits;
+  std::shared_ptr<const ServiceState> service;  // Of this host, in `state`.
+  bool issues_bindings = false;  // The service has non-idempotent routes.
+  VisitTable visits;
+  Admission admission;
+  BindingTable bindings;
+  SuspectTable suspects;
+  int suspects_in_flight = 0;
   bool leaving = false;
   bool backend_up = true;
+  bool shedding = false;
 };
 
 }  // namespace agaterun::decision
--- /dev/null
+++ b/libraries/decision/gate_bindings.cc
@@ -0,0 +1,159 @@
+#include <algorithm>
+
+#include "libraries/base/verify.h"
+#include "libraries/decision/gate.h"
+
+// Bindings at a gate: what keeps non-idempotent requests at most once.
+namespace agaterun::decision {
+
+namespace {
+
+// Attempts that may wait for one visit. A caller that resends through every
+// node of its failure domain stays below.
+constexpr std::size_t kWaitersOfOneVisit = 32;
+
+}  // namespace
+
+bool Gate::CheckBinding(Instant now,
+                        const VisitArrived& event,
+                        Actions& actions) {
+  const auto& request = event.request;
+  const auto& binding = *request.binding;
+  const auto entry = this->bindings.Find(now, binding);
+  const auto reply = [&](const Word& word) {
+    this->Reply(now, WaiterOf(event), request.allowance, word, nullptr,
+                actions);
+    return false;
+  };
+  const bool in_use = entry.state == BindingState::kActive ||
+                      entry.state == BindingState::kFinished;
+  if (in_use && entry.fingerprint != request.fingerprint) {
+    return reply({.outcome = Outcome::kNotRun, .reason = Reason::kMalformed});
+  }
+  switch (entry.state) {
+    case BindingState::kOpen:
+      return true;
+    case BindingState::kActive:
+      this->Join(now, event, entry.visit, actions);
+      return false;
+    case BindingState::kFinished:
+      return reply({.outcome = Outcome::kCompleted, .answer = entry.answer});
+    case BindingState::kRefused:
+      // The caller learns from this that its request was not run; so no other
+      // call may move the binding any more and run it after all.
+      if (!this->bindings.WasRefused(binding, request.attempt)) {
+        this->bindings.Fence(binding);
+      }
+      [[fallthrough]];
+    case BindingState::kFenced:
+      return reply(
+          {.outcome = Outcome::kNotRun, .reason = Reason::kBindingFenced});
+    case BindingState::kMoved:
+      return reply({.outcome = Outcome::kNotRun, .moved_to = entry.moved_to});
+    case BindingState::kNeverIssued:
+      return reply({.outcome = Outcome::kNotRun, .reason = Reason::kMalformed});
+    case BindingState::kLost:
+    case BindingState::kElsewhere:
+      return reply(
+          {.outcome = Outcome::kUnknown, .reason = Reason::kBindingLost});
+  }
+  return false;
+}
+
+void Gate::Join(Instant now,
+                const VisitArrived& event,
+                VisitId id,
+                Actions& actions) {
+  auto& visit = *this->visits.Find(id);
+  if (visit.waiters.size() >= kWaitersOfOneVisit) {
+    this->Reply(now, WaiterOf(event), event.request.allowance,
+                {.outcome = Outcome::kUnknown, .reason = Reason::kLimitReached},
+                nullptr, actions);
+    return;
+  }
+  this->visits.AddWaiter(id, WaiterOf(event));
+  if (visit.phase == VisitPhase::kQueued) {
+    return;
+  }
+  // Somebody waits again, up to the later of both deadlines.
+  visit.phase = VisitPhase::kRunning;
+  visit.deadline = std::max(visit.deadline, now + event.request.remaining);
+  this->visits.SetDue(id, visit.deadline);
+}
+
+void Gate::IssueBinding(Instant now,
+                        const VisitArrived& event,
+                        Actions& actions) {
+  const auto& request = event.request;
+  Reason reason = this->Closed(request);
+  if (reason == Reason::kNone &&
+      !this->admission.WouldAdmit(now, request.importance,
+                                  request.admission_key)) {
+    reason = Reason::kOverloaded;
+  }
+  this->Reply(
+      now, WaiterOf(event), request.allowance,
+      {.outcome = Outcome::kNotRun,
+       .reason = reason == Reason::kNone ? Reason::kBindingRequired : reason},
+      nullptr, actions);
+}
+
+void Gate::QueryBinding(Instant now,
+                        const VisitArrived& event,
+                        Actions& actions) {
+  const auto& request = event.request;
+  Word word{.outcome = Outcome::kNotRun, .reason = Reason::kMalformed};
+  if (request.binding) {
+    const auto entry = this->bindings.Find(now, *request.binding);
+    switch (entry.state) {
+      case BindingState::kOpen:
+      case BindingState::kRefused:
+      case BindingState::kFenced:
+        // Asking closes it, so that "not run" is true from now on.
+        this->bindings.Fence(*request.binding);
+        word.reason = Reason::kBindingFenced;
+        break;
+      case BindingState::kActive:
+        word = {.outcome = Outcome::kUnknown, .reason = Reason::kInProgress};
+        break;
+      case BindingState::kFinished:
+        word = {.outcome = Outcome::kCompleted, .answer = entry.answer};
+        break;
+      case BindingState::kMoved:
+        word = {.outcome = Outcome::kNotRun, .moved_to = entry.moved_to};
+        break;
+      case BindingState::kNeverIssued:
+        break;
+      case BindingState::kLost:
+      case BindingState::kElsewhere:
+        word = {.outcome = Outcome::kUnknown, .reason = Reason::kBindingLost};
+        break;
+    }
+  }
+  this->Reply(now, WaiterOf(event), request.allowance, word, nullptr, actions);
+}
+
+void Gate::MoveBinding(Instant now,
+                       const VisitArrived& event,
+                       Actions& actions) {
+  const auto& request = event.request;
+  if (!request.binding || !request.moved_to) {
+    this->Reply(now, WaiterOf(event), request.allowance,
+                {.outcome = Outcome::kNotRun, .reason = Reason::kMalformed},
+                nullptr, actions);
+    return;
+  }
+  const auto entry = this->bindings.Find(now, *request.binding);
+  if (entry.state == BindingState::kRefused &&
+      this->bindings.Move(*request.binding, *request.moved_to,
+                          request.attempt)) {
+    this->Reply(now, WaiterOf(event), request.allowance,
+                {.outcome = Outcome::kNotRun, .moved_to = request.moved_to},
+                nullptr, actions);
+    return;
+  }
+  // Not this call's to move: it learns what became of the binding instead.
+  this->QueryBinding(now, event, actions);
+}
+
+}  // namespace agaterun::decision
--- /dev/null
+++ b/libraries/decision/own_time_sample.h
@@ -0,0 +1,37 @@
+#ifndef LIBRARIES_DECISION_OWN_TIME_SAMPLE_H_
+#define LIBRARIES_DECISION_OWN_TIME_SAMPLE_H_
+
+namespace agaterun::decision {
+
+// Mean of own times in seconds and how far it can be trusted, by Welford's
+// algorithm.
+class OwnTimeSample {
+ public:
+  void Add(double seconds) {
+    ++this->count;
+    const double off = seconds - this->mean;
+    this->mean += off / this->count;
+    this->squares += off * (seconds - this->mean);
+  }
+
+  int Count() const { return this->count; }
+  double Mean() const { return this->mean; }
+
+  // Variance of the mean, in relation to the square of the mean.
+  double RelativeVariance() const {
+    if (this->count < 2 || this->mean <= 0) {
+      return 1;
+    }
+    const double variance = this->squares / (this->count - 1);
+    return variance / this->count / (this->mean * this->mean);
+  }
+
+ private:
+  int count = 0;
+  double mean = 0;
+  double squares = 0;
+};
+
+}  // namespace agaterun::decision
+
+#endif  // LIBRARIES_DECISION_OWN_TIME_SAMPLE_H_
--- /dev/null
+++ b/libraries/decision/service_times.cc
@@ -0,0 +1,72 @@
+#include "libraries/decision/service_times.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace agaterun::decision {
+
+namespace {
+
+// A ticket names far fewer; route names come from peers, so they are bounded.
+constexpr std::size_t kRouteCapacity = 1024;
+
+// Weight of one new request.
+constexpr double kSmoothing = 0.125;
+
+// An estimate without news loses half of itself in this time. Without that an
+// estimate above every deadline would refuse the requests that correct it.
+constexpr Duration kHalfLife = 250ms;
+
+}  // namespace
+
+void ServiceTimes::Update(Instant now, Estimate& estimate, double seconds) {
+  const double mean = ToSeconds(Decayed(now, estimate));
+  estimate.mean =
+      estimate.mean == 0 ? seconds : mean + kSmoothing * (seconds - mean);
+  estimate.last = now;
+}
+
+void ServiceTimes::Add(Instant now, std::string_view route, Duration time) {
+  const double seconds = ToSeconds(time);
+  Update(now, this->any, seconds);
+  auto found = this->routes.find(route);
+  if (found == this->routes.end()) {
+    if (this->routes.size() >= kRouteCapacity) {
+      this->routes.clear();
+    }
+    found = this->routes.emplace(std::string(route), Estimate{}).first;
+  }
+  Update(now, found->second, seconds);
+}
+
+void ServiceTimes::AddUnfinished(Instant now,
+                                 std::string_view route,
+                                 Duration time) {
+  // All that is known is a lower bound, so it may only raise the estimate.
+  if (time > this->Expected(now, route)) {
+    this->Add(now, route, time);
+  }
+}
+
+Duration ServiceTimes::Decayed(Instant now, const Estimate& estimate) {
+  const Duration mean = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(estimate.mean));
+  // A request that takes long can bring no news before its time is up.
+  const Duration silence = now - estimate.last - mean;
+  if (silence < kHalfLife) {
+    return mean;
+  }
+  const auto halvings = std::min<std::int64_t>(silence / kHalfLife, 40);
+  return mean / (std::int64_t{1} << halvings);
+}
+
+Duration ServiceTimes::Expected(Instant now, std::string_view route) const {
+  const auto found = this->routes.find(route);
+  return found == this->routes.end() ? Duration{} : Decayed(now, found->second);
+}
+
+Duration ServiceTimes::ExpectedOfAny(Instant now) const {
+  return Decayed(now, this->any);
+}
+
+}  // namespace agaterun::decision
--- /dev/null
+++ b/libraries/decision/visit.h
@@ -0,0 +1,55 @@
+#ifndef LIBRARIES_DECISION_VISIT_H_
+#define LIBRARIES_DECISION_VISIT_H_
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "libraries/base/time.h"
+#include "libraries/decision/events.h"
+#include "libraries/decision/messages.h"
+#include "libraries/decision/own_time.h"
+#include "libraries/decision/retry_allowance.h"
+
+namespace agaterun::decision {
+
+// An attempt whose origin waits for the visit's last word.
+struct VisitWaiter {
+  NodeAddress from;
+  AttemptId attempt;
+  int allowance = 0;
+};
+
+inline VisitWaiter WaiterOf(const VisitArrived& event) {
+  return {.from = event.from,
+          .attempt = event.request.attempt,
+          .allowance = event.request.allowance};
+}
+
+enum class VisitPhase : std::uint8_t {
+  kQueued,
+  kRunning,
+  // Runs on with nobody waiting, so that its answer can be repeated.
+  kAbandoned,
+};
+
+// One request at its gate, from admission to its last word.
+struct Visit {
+  VisitRequest request;  // As the first attempt brought it.
+  std::vector<VisitWaiter> waiters;
+  VisitPhase phase = VisitPhase::kQueued;
+  Instant arrived{};
+  Instant deadline{};
+  // When OnTick has to look at the visit.
+  Instant due{};
+  OwnTime time;
+  RetryAllowance allowance{{.retries = 0}};
+  bool suspect = false;
+  // Strictest thresholds that nested calls brought back, by service.
+  std::vector<std::pair<std::string, AdmissionThreshold>> thresholds;
+};
+
+}  // namespace agaterun::decision
+
+#endif  // LIBRARIES_DECISION_VISIT_H_
