--- a/libraries/decision/binding_table.cc
+++ b/libraries/decision/binding_table.cc
@@ -64,20 +64,16 @@
 }
 
 void BindingTable::Expire(Instant now) {
-  // An epoch ends where the next begins; only then is all of it old enough.
-  while (this->epochs.size() > 1 &&
-         now - this->epochs.at(1).start >= kLifetime) {
-    while (this->floor < this->epochs.at(1).first && !this->states.empty()) {
-      this->ExpireOldest();
-    }
+  // The bindings of an epoch were issued within its length, so that one
+  // instant for all of them suffices.
+  while (!this->epochs.empty() &&
+         now - this->epochs.front().start >= kLifetime + kEpochLength) {
     this->epochs.pop_front();
-  }
-  if (!this->epochs.empty() &&
-      now - this->epochs.front().start >= kLifetime + kEpochLength) {
-    while (!this->states.empty()) {
+    const Counter end =
+        this->epochs.empty() ? this->next : this->epochs.front().first;
+    while (this->floor < end) {
       this->ExpireOldest();
     }
-    this->epochs.clear();
   }
 }
 
