--- /dev/null
+++ b/tests/decision/binding_property_test.cc
@@ -0,0 +1,355 @@
+#include <rapidcheck.h>
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "libraries/decision/gate.h"
+#include "tests/decision/gate_harness.h"
+
+// Two gates, callers that resend, and a network that loses, repeats and
+// reorders what goes between them. Every run is counted where it happens.
+namespace agaterun::decision {
+
+namespace {
+
+constexpr int kRequests = 3;
+constexpr int kCallsPerRequest = 3;
+constexpr int kGates = 2;
+
+struct Call {
+  std::size_t request = 0;
+  Binding binding;
+  int number = 0;
+  bool moving = false;
+  std::optional<Binding> move_target;
+  bool ended = false;
+};
+
+class World {
+ public:
+  World() {
+    for (int index = 0; index < kGates; ++index) {
+      this->incarnations.push_back(0);
+      this->gates.push_back(nullptr);
+      this->Restart(static_cast<std::size_t>(index));
+    }
+    for (std::size_t request = 0; request < kRequests; ++request) {
+      this->runs.push_back(0);
+      this->told_not_run.push_back(false);
+      const auto binding = this->Issue(0);
+      for (int call = 0; call < kCallsPerRequest; ++call) {
+        this->calls.push_back({.request = request, .binding = binding});
+      }
+    }
+  }
+
+  // One step, chosen by `code`.
+  void Step(std::uint32_t code) {
+    this->now += 1ms;
+    const std::uint32_t pick = code >> 4;
+    switch (code & 15) {
+      case 0:
+      case 1:
+      case 2:
+        this->Send(this->calls[pick % this->calls.size()]);
+        break;
+      case 3:
+      case 4:
+      case 5:
+      case 6:
+        this->Deliver(pick, /*keep=*/false);
+        break;
+      case 7:
+        this->Deliver(pick, /*keep=*/true);
+        break;
+      case 8:
+        this->Lose(pick);
+        break;
+      case 9:
+      case 10:
+        this->FinishBackend(pick, BackendFailure::kNotSent, /*answer=*/true);
+        break;
+      case 11:
+        this->FinishBackend(pick, BackendFailure::kNotSent, /*answer=*/false);
+        break;
+      case 12:
+        this->FinishBackend(pick, BackendFailure::kBroken, /*answer=*/false);
+        break;
+      case 13:
+        this->Query(this->calls[pick % this->calls.size()]);
+        break;
+      case 14:
+        this->Cancel(this->calls[pick % this->calls.size()]);
+        break;
+      case 15:
+        this->Disturb(pick);
+        break;
+    }
+    this->Check();
+  }
+
+ private:
+  struct Message {
+    std::size_t gate = 0;
+    VisitRequest request;
+    bool cancel = false;
+  };
+
+  struct Running {
+    std::size_t gate = 0;
+    VisitId visit;
+    std::size_t request = 0;
+  };
+
+  static NodeAddress AddressOf(std::size_t gate) {
+    return {.ip = 0x7f000001 + static_cast<std::uint32_t>(gate), .port = 1};
+  }
+
+  void Restart(std::size_t gate) {
+    // Whatever ran goes on running at the backend server, unheard.
+    std::erase_if(this->running,
+                  [&](const Running& run) { return run.gate == gate; });
+    this->gates[gate] = std::make_unique<Gate>(
+        Gate::Options{.self = AddressOf(gate),
+                      .incarnation = ++this->incarnations[gate],
+                      .service = "drafts"},
+        this->random);
+    this->gates[gate]->SetState(this->now, StateWith(1));
+  }
+
+  Binding Issue(std::size_t gate) {
+    Actions actions;
+    VisitRequest request{
+        .kind = VisitKind::kIssueBinding, .service = "drafts", .remaining = 1s};
+    request.attempt.call = 1000000 + ++this->issues;
+    this->gates[gate]->OnVisitArrived(this->now, {.request = request}, actions);
+    const auto* reply = std::get_if<ReplyToOrigin>(&actions.at(0));
+    return reply->reply.next_binding.value_or(
+        Binding{.gate = AddressOf(gate), .incarnation = 0});
+  }
+
+  std::size_t IndexOf(const Call& call) const {
+    return static_cast<std::size_t>(&call - this->calls.data());
+  }
+
+  static std::size_t GateOf(const Binding& binding) {
+    return binding.gate.ip - 0x7f000001;
+  }
+
+  VisitRequest RequestOf(const Call& call, VisitKind kind) const {
+    return {.attempt = {.origin = kOriginAddress,
+                        .incarnation = 1,
+                        .call = this->IndexOf(call),
+                        .number = static_cast<std::uint32_t>(call.number)},
+            .kind = kind,
+            .service = "drafts",
+            .route = "write",
+            .remaining = 1s,
+            .fingerprint = call.request,
+            .binding = call.binding};
+  }
+
+  void Send(Call& call) {
+    if (call.ended || call.moving) {
+      return;
+    }
+    ++call.number;
+    this->messages.push_back(
+        {GateOf(call.binding), this->RequestOf(call, VisitKind::kRun)});
+  }
+
+  void Query(Call& call) {
+    if (call.ended) {
+      return;
+    }
+    ++call.number;
+    this->messages.push_back({GateOf(call.binding),
+                              this->RequestOf(call, VisitKind::kQueryBinding)});
+  }
+
+  void Cancel(Call& call) {
+    // As with a passed deadline: the caller was told "unknown".
+    this->messages.push_back(
+        {GateOf(call.binding), this->RequestOf(call, VisitKind::kRun), true});
+    call.ended = true;
+  }
+
+  void Lose(std::uint32_t pick) {
+    if (!this->messages.empty()) {
+      this->messages.erase(this->messages.begin() +
+                           pick % this->messages.size());
+    }
+  }
+
+  void Deliver(std::uint32_t pick, bool keep) {
+    if (this->messages.empty()) {
+      return;
+    }
+    const std::size_t index = pick % this->messages.size();
+    const Message message = this->messages[index];
+    if (!keep) {
+      this->messages.erase(this->messages.begin() +
+                           static_cast<std::ptrdiff_t>(index));
+    }
+    Actions actions;
+    auto& gate = *this->gates[message.gate];
+    if (message.cancel) {
+      gate.OnVisitCancelled(this->now, {.attempt = message.request.attempt},
+                            actions);
+    } else {
+      gate.OnVisitArrived(this->now,
+                          {.from = kOriginAddress, .request = message.request},
+                          actions);
+    }
+    this->Apply(message.gate, actions, pick);
+  }
+
+  void FinishBackend(std::uint32_t pick, BackendFailure failure, bool answer) {
+    if (this->running.empty()) {
+      return;
+    }
+    const std::size_t index = pick % this->running.size();
+    const Running run = this->running[index];
+    this->running.erase(this->running.begin() +
+                        static_cast<std::ptrdiff_t>(index));
+    Actions actions;
+    auto& gate = *this->gates[run.gate];
+    if (answer) {
+      gate.OnBackendAnswered(
+          this->now,
+          {.visit = run.visit,
+           .answer = std::make_shared<HttpResponse>(
+               HttpResponse{.body = std::to_string(run.request)})},
+          actions);
+    } else {
+      if (failure == BackendFailure::kNotSent) {
+        --this->runs[run.request];
+      }
+      gate.OnBackendFailed(this->now, {.visit = run.visit, .failure = failure},
+                           actions);
+    }
+    this->Apply(run.gate, actions, pick);
+  }
+
+  void Disturb(std::uint32_t pick) {
+    const std::size_t gate = pick % kGates;
+    Actions actions;
+    switch ((pick / kGates) % 4) {
+      case 0:
+        this->Restart(gate);
+        break;
+      case 1:
+        this->gates[gate]->OnBackendReachable(
+            this->now, {.reachable = ((pick / 8) % 2) == 0}, actions);
+        break;
+      case 2:
+        this->now += 150ms;
+        this->gates[gate]->OnTick(this->now, actions);
+        break;
+      case 3:
+        this->now += 2s;
+        this->gates[gate]->OnTick(this->now, actions);
+        break;
+    }
+    this->Apply(gate, actions, pick);
+  }
+
+  // Replies reach their calls at once or, every fourth time, never.
+  void Apply(std::size_t gate, const Actions& actions, std::uint32_t pick) {
+    for (const auto& action : actions) {
+      if (const auto* start = std::get_if<StartBackend>(&action)) {
+        const auto& call = this->calls.at(start->attempt.call);
+        this->running.push_back({gate, start->visit, call.request});
+        ++this->runs[call.request];
+      }
+      if (const auto* sent = std::get_if<ReplyToOrigin>(&action);
+          sent != nullptr && pick % 4 != 3 &&
+          sent->reply.attempt.call < this->calls.size()) {
+        this->OnReply(this->calls[sent->reply.attempt.call], *sent, pick);
+      }
+    }
+  }
+
+  void OnReply(Call& call, const ReplyToOrigin& sent, std::uint32_t pick) {
+    const auto& reply = sent.reply;
+    if (call.ended || static_cast<int>(reply.attempt.number) != call.number) {
+      return;
+    }
+    if (reply.outcome == Outcome::kCompleted) {
+      RC_ASSERT(sent.answer->body == std::to_string(call.request));
+      call.ended = true;
+      return;
+    }
+    if (reply.outcome == Outcome::kUnknown) {
+      call.ended = reply.reason != Reason::kInProgress;
+      return;
+    }
+    if (reply.moved_to) {
+      call.binding = *reply.moved_to;
+      call.moving = false;
+      this->Send(call);
+      return;
+    }
+    const bool refused = reply.reason == Reason::kBackendDown ||
+                         reply.reason == Reason::kOverloaded;
+    if (refused && !call.moving && pick % 3 != 0) {
+      const std::size_t other = 1 - GateOf(call.binding);
+      call.moving = true;
+      auto request = this->RequestOf(call, VisitKind::kMoveBinding);
+      request.attempt.number = static_cast<std::uint32_t>(++call.number);
+      request.moved_to = this->Issue(other);
+      this->messages.push_back({GateOf(call.binding), request});
+      return;
+    }
+    call.ended = true;
+    this->told_not_run[call.request] = true;
+  }
+
+  void Check() const {
+    for (std::size_t request = 0; request < kRequests; ++request) {
+      RC_ASSERT(this->runs[request] <= 1);
+      RC_ASSERT(!this->told_not_run[request] || this->runs[request] == 0);
+    }
+  }
+
+  SeededRandom random{1};
+  Instant now{};
+  CallId issues = 0;
+  std::vector<std::uint64_t> incarnations;
+  std::vector<std::unique_ptr<Gate>> gates;
+  std::vector<Call> calls;
+  std::vector<Message> messages;
+  std::vector<Running> running;
+  std::vector<int> runs;           // By request.
+  std::vector<bool> told_not_run;  // By request.
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(BindingPropertyTest)
+
+BOOST_AUTO_TEST_CASE(RunsOnceAtMostAndNeverAfterNotRun) {
+  constexpr std::uint64_t kSeed = 20261204;
+  BOOST_TEST_MESSAGE("rapidcheck seed " << kSeed);
+  const auto result = rc::detail::checkTestable(
+      [] {
+        const auto codes = *rc::gen::container<std::vector<std::uint32_t>>(
+            150, rc::gen::inRange<std::uint32_t>(0, 1U << 20));
+        World world;
+        for (const auto code : codes) {
+          world.Step(code);
+        }
+      },
+      rc::detail::TestMetadata{},
+      rc::detail::TestParams{.seed = kSeed, .maxSuccess = 600});
+  std::ostringstream text;
+  rc::detail::printResultMessage(result, text);
+  BOOST_TEST(result.template is<rc::detail::SuccessResult>(), text.str());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace agaterun::decision
--- a/tests/decision/gate_bindings_test.cc
+++ b/tests/decision/gate_bindings_test.cc
@@ -71,7 +71,7 @@
 
 // Another call's kRun, kQueryBinding and kMoveBinding in each state. A run of
 // an open binding waits for its answer, and so does one that joins.
-const std::vector<Row> kRows = {
+constexpr Row kRows[] = {
     {kOpen, VisitKind::kRun, kCompleted, Reason::kNone, false, true},
     {kActive, VisitKind::kRun, kCompleted, Reason::kNone},
     {kFinished, VisitKind::kRun, kCompleted, Reason::kNone},
@@ -106,7 +106,7 @@
 BOOST_AUTO_TEST_SUITE(GateBindingsTest)
 
 BOOST_AUTO_TEST_CASE(AnswersEachKindInEachState) {
-  for (std::size_t index = 0; index < kRows.size(); ++index) {
+  for (std::size_t index = 0; index < std::size(kRows); ++index) {
     BOOST_TEST_CONTEXT("row " << index) {
       const auto& row = kRows[index];
       Prepared prepared;
