--- /dev/null
+++ b/libraries/decision/attempt_sender.cc
@@ -0,0 +1,112 @@
+#include "libraries/decision/attempt_sender.h"
+
+#include <algorithm>
+
+#include "libraries/base/verify.h"
+
+namespace agaterun::decision {
+
+namespace {
+
+// Retries that go with a run. The origin keeps one for its own retry; the rest
+// is of more use further down, where it comes back from unspent.
+int LoanFor(Call& call, VisitKind kind) {
+  constexpr int kKept = 1;
+  if (kind != VisitKind::kRun) {
+    return 0;
+  }
+  return call.allowance.Lend(call.allowance.Remaining() - kKept);
+}
+
+// Takes back what the gate did not spend of `loan`.
+void TakeBack(Call& call, int loan, int unspent) {
+  // The ledger refuses more than all loans together; a gate must not return
+  // what was lent to another attempt and lost there.
+  const auto back = std::clamp(unspent, 0, loan);
+  const auto returned = call.allowance.Return(back);
+  VERIFY(returned.has_value());
+}
+
+}  // namespace
+
+void AttemptSender::Send(Instant now,
+                         Call& call,
+                         VisitKind kind,
+                         NodeAddress gate,
+                         Actions& actions) {
+  VERIFY(!call.attempt);
+  const AttemptInFlight attempt{.gate = gate,
+                                .kind = kind,
+                                .number = ++call.attempts,
+                                .sent = now,
+                                .loan = LoanFor(call, kind)};
+  call.attempt = attempt;
+  if (kind != VisitKind::kIssueBinding) {
+    call.outcome.AttemptSent();
+  }
+  this->peers.AttemptStarted(gate);
+  auto request = call.request;
+  request.attempt = AttemptId{.origin = this->options.self,
+                              .incarnation = this->options.incarnation,
+                              .call = call.id,
+                              .number = attempt.number};
+  request.kind = kind;
+  request.remaining = call.deadline - now;
+  request.allowance = attempt.loan;
+  switch (kind) {
+    case VisitKind::kRun:
+      request.binding = call.binding;
+      break;
+    case VisitKind::kIssueBinding:
+      break;
+    case VisitKind::kQueryBinding:
+      request.binding = call.phase == CallPhase::kConfirming ? call.new_binding
+                                                             : call.binding;
+      break;
+    case VisitKind::kMoveBinding:
+      request.binding = call.binding;
+      request.moved_to = call.new_binding;
+      break;
+  }
+  actions.push_back(SendAttempt{.to = gate, .request = std::move(request)});
+}
+
+void AttemptSender::EndReplied(Instant now,
+                               Call& call,
+                               const VisitReply& reply) {
+  const auto attempt = *call.attempt;
+  call.attempt.reset();
+  TakeBack(call, attempt.loan, reply.unspent_allowance);
+  this->peers.ReportLoad(now, attempt.gate, reply.load);
+  if (reply.outcome == Outcome::kCompleted && attempt.kind == VisitKind::kRun) {
+    this->peers.AttemptCompleted(now, attempt.gate, now - attempt.sent);
+  } else {
+    this->peers.AttemptRefused(now, attempt.gate, reply.reason);
+  }
+}
+
+void AttemptSender::EndLost(Instant now, Call& call, bool sent) {
+  const auto attempt = *call.attempt;
+  call.attempt.reset();
+  if (!sent) {
+    TakeBack(call, attempt.loan, attempt.loan);
+  }
+  this->peers.AttemptLost(now, attempt.gate);
+}
+
+void AttemptSender::Cancel(Instant now, Call& call, Actions& actions) {
+  if (!call.attempt) {
+    return;
+  }
+  const auto attempt = *call.attempt;
+  call.attempt.reset();
+  this->peers.AttemptAbandoned(now, attempt.gate, now - attempt.sent);
+  actions.push_back(
+      CancelAttempt{.to = attempt.gate,
+                    .attempt = {.origin = this->options.self,
+                                .incarnation = this->options.incarnation,
+                                .call = call.id,
+                                .number = attempt.number}});
+}
+
+}  // namespace agaterun::decision
--- /dev/null
+++ b/libraries/decision/call_end.cc
@@ -0,0 +1,31 @@
+#include "libraries/decision/call_end.h"
+
+namespace agaterun::decision {
+
+// The end of a call whose last event says `reason`.
+CallEnd EndOf(const Call& call, Reason reason) {
+  // What made the call unknown says more than a later refusal of a retry.
+  if (call.outcome.Current() == Outcome::kUnknown &&
+      call.unknown_reason != Reason::kNone) {
+    return {.reason = call.unknown_reason};
+  }
+  return {.reason = reason};
+}
+
+CallEnd EndUnknown(Call& call, Reason reason) {
+  if (call.unknown_reason == Reason::kNone) {
+    call.unknown_reason = reason;
+  }
+  return {.reason = reason};
+}
+
+CallEnd EndCompleted(Call& call, const Answer& answer) {
+  call.outcome.AttemptEnded(AttemptResult::kCompleted);
+  return {.answer = answer};
+}
+
+bool IsWhole(const AttemptReplied& event) {
+  return event.reply.outcome == Outcome::kCompleted && event.answer != nullptr;
+}
+
+}  // namespace agaterun::decision
--- /dev/null
+++ b/libraries/decision/call_runner.cc
@@ -0,0 +1,297 @@
+#include "libraries/decision/call_runner.h"
+
+#include <algorithm>
+
+#include "libraries/base/verify.h"
+#include "libraries/decision/retry_rule.h"
+
+namespace agaterun::decision {
+
+CallRunner::CallRunner(Options options, PeerTable& peers, RandomSource& random)
+    : peers(peers),
+      sender({.self = options.self, .incarnation = options.incarnation}, peers),
+      picker({.origin = {.self = options.self,
+                         .region = options.region,
+                         .failure_domain = options.failure_domain}},
+             peers,
+             random) {}
+
+void CallRunner::SetState(const TicketState& state) {
+  this->picker.SetState(state);
+  std::optional<double> share;
+  for (const auto& [name, item] : state.items) {
+    if (item.policy) {
+      // Of several policies the strictest holds.
+      share = std::min(share.value_or(item.policy->retry_budget),
+                       item.policy->retry_budget);
+    }
+  }
+  this->budget.SetShare(share.value_or(PolicyState{}.retry_budget));
+}
+
+std::optional<CallEnd> CallRunner::Start(Instant now,
+                                         Call& call,
+                                         Actions& actions) {
+  const bool is_query = call.phase == CallPhase::kQuerying;
+  if (!is_query) {
+    this->budget.AddFirstTry(now);
+  }
+  if (!call.binding) {
+    return this->SendElsewhere(now, call, false, false, actions);
+  }
+  // A caller's binding names an address. Only nodes that the tickets or the
+  // host list name are spoken with; another host of that address is gone.
+  if (!this->IsKnownGate(call, call.binding->gate)) {
+    return EndUnknown(call, Reason::kBindingLost);
+  }
+  this->sender.Send(now, call,
+                    is_query ? VisitKind::kQueryBinding : VisitKind::kRun,
+                    call.binding->gate, actions);
+  return std::nullopt;
+}
+
+bool CallRunner::TakeRetry(Instant now, Call& call) {
+  if (call.allowance.Remaining() == 0 || !this->budget.Take(now)) {
+    return false;
+  }
+  return call.allowance.Spend();
+}
+
+bool CallRunner::IsKnownGate(const Call& call, NodeAddress gate) const {
+  if (call.service) {
+    for (const auto& endpoint : call.service->endpoints) {
+      if (endpoint.node == gate) {
+        return true;
+      }
+    }
+  }
+  // A host that a ticket no longer names may still finish what it runs.
+  const auto* peer = this->peers.Find(gate);
+  return peer != nullptr && peer->last_heard != Instant{};
+}
+
+std::optional<Binding> CallRunner::TakeHeldBinding(Instant now,
+                                                   NodeAddress gate) {
+  const auto binding = this->held_bindings.Take(now, gate);
+  const auto* peer = this->peers.Find(gate);
+  if (!binding || peer == nullptr) {
+    return std::nullopt;
+  }
+  const bool is_other_life =
+      peer->incarnation != 0 && peer->incarnation != binding->incarnation;
+  return is_other_life ? std::nullopt : binding;
+}
+
+CallRunner::Step CallRunner::SendElsewhere(Instant now,
+                                           Call& call,
+                                           bool is_retry,
+                                           bool needs_room,
+                                           Actions& actions) {
+  const auto gate = this->picker.Pick(
+      now, call.service, {.excluded = call.tried, .needs_room = needs_room});
+  if (!gate) {
+    // Every endpoint is cut off, leaving or was tried. Nothing is gained by
+    // holding the call until its deadline.
+    return EndOf(call, call.refusal == Reason::kNone ? Reason::kUnreachable
+                                                     : call.refusal);
+  }
+  if (is_retry && !this->TakeRetry(now, call)) {
+    return EndOf(call, needs_room ? call.refusal : Reason::kExhausted);
+  }
+  return this->SendTo(now, call, *gate, actions);
+}
+
+CallRunner::Step CallRunner::SendTo(Instant now,
+                                    Call& call,
+                                    NodeAddress gate,
+                                    Actions& actions) {
+  if (call.request.idempotent) {
+    call.phase = CallPhase::kRunning;
+    this->sender.Send(now, call, VisitKind::kRun, gate, actions);
+    return std::nullopt;
+  }
+  if (call.binding) {
+    call.phase = CallPhase::kRebinding;
+    this->sender.Send(now, call, VisitKind::kIssueBinding, gate, actions);
+    return std::nullopt;
+  }
+  if (call.IsNested()) {
+    if (const auto binding = this->TakeHeldBinding(now, gate); binding) {
+      call.binding = binding;
+      call.binding_unused = true;
+      call.phase = CallPhase::kRunning;
+      this->sender.Send(now, call, VisitKind::kRun, gate, actions);
+      return std::nullopt;
+    }
+  }
+  call.phase = CallPhase::kIssuing;
+  this->sender.Send(now, call, VisitKind::kIssueBinding, gate, actions);
+  return std::nullopt;
+}
+
+std::optional<CallEnd> CallRunner::TakeReply(Instant now,
+                                             Call& call,
+                                             const AttemptReplied& event,
+                                             Actions& actions) {
+  VERIFY(call.attempt);
+  const auto attempt = *call.attempt;
+  const auto& reply = event.reply;
+  this->sender.EndReplied(now, call, reply);
+  if (attempt.kind == VisitKind::kRun) {
+    if (IsWhole(event) && call.service) {
+      this->picker.Observe(call.service->name, now - attempt.sent);
+    }
+    if (reply.next_binding && call.IsNested()) {
+      this->held_bindings.Put(now, *reply.next_binding);
+    }
+    call.next_binding = reply.next_binding;
+  }
+  switch (call.phase) {
+    case CallPhase::kRunning:
+      return this->TakeRunReply(now, call, event, attempt.gate, actions);
+    case CallPhase::kIssuing:
+    case CallPhase::kRebinding:
+      return this->TakeIssued(now, call, reply, attempt.gate, actions);
+    case CallPhase::kMoving:
+      return this->TakeMoveReply(now, call, reply, actions);
+    case CallPhase::kConfirming:
+    case CallPhase::kQuerying:
+      return this->TakeQueryReply(now, call, event, actions);
+    case CallPhase::kJoined:
+      break;
+  }
+  VERIFY(false);
+  return std::nullopt;
+}
+
+CallRunner::Step CallRunner::TakeRunReply(Instant now,
+                                          Call& call,
+                                          const AttemptReplied& event,
+                                          NodeAddress gate,
+                                          Actions& actions) {
+  const auto& reply = event.reply;
+  call.binding_unused = false;
+  if (IsWhole(event)) {
+    return EndCompleted(call, event.answer);
+  }
+  if (reply.outcome != Outcome::kNotRun) {
+    call.outcome.AttemptEnded(AttemptResult::kUnknown);
+    return EndUnknown(call, reply.reason);
+  }
+  if (!call.binding) {
+    call.outcome.AttemptEnded(AttemptResult::kNotRun);
+    return this->TakeRefusal(now, call, reply.reason, reply.retry_after, gate,
+                             actions);
+  }
+  // A gate fences a binding before it refuses a run under it.
+  call.outcome.AttemptEnded(AttemptResult::kFenced);
+  if (reply.moved_to) {
+    return this->Follow(now, call, *reply.moved_to, actions);
+  }
+  return this->TakeRefusal(now, call, reply.reason, reply.retry_after, gate,
+                           actions);
+}
+
+CallRunner::Step CallRunner::TakeRefusal(Instant now,
+                                         Call& call,
+                                         Reason reason,
+                                         Duration retry_after,
+                                         NodeAddress gate,
+                                         Actions& actions) {
+  call.tried.push_back(gate);
+  // A binding that can't be moved was still refused for its first reason.
+  if (call.phase != CallPhase::kRebinding) {
+    call.refusal = reason;
+    call.retry_after = retry_after;
+  }
+  switch (RuleForRefusal(reason)) {
+    case RetryRule::kNever:
+      return EndOf(call, call.refusal);
+    case RetryRule::kOnceWithRoom:
+      if (call.retried_for_room) {
+        return EndOf(call, call.refusal);
+      }
+      call.retried_for_room = true;
+      return this->SendElsewhere(now, call, true, true, actions);
+    case RetryRule::kElsewhere:
+      return this->SendElsewhere(now, call, true, false, actions);
+  }
+  return EndOf(call, call.refusal);
+}
+
+std::optional<CallEnd> CallRunner::TakeLoss(Instant now,
+                                            Call& call,
+                                            bool sent,
+                                            Actions& actions) {
+  VERIFY(call.attempt);
+  const auto gate = call.attempt->gate;
+  this->sender.EndLost(now, call, sent);
+  const auto reason = sent ? Reason::kConnectionLost : Reason::kUnreachable;
+  switch (call.phase) {
+    case CallPhase::kRunning:
+      return this->TakeRunLoss(now, call, sent, gate, actions);
+    case CallPhase::kIssuing:
+    case CallPhase::kRebinding:
+      // Issuing runs nothing, so a lost issue is as good as an unsent one.
+      return this->TakeRefusal(now, call, Reason::kUnreachable, Duration{},
+                               gate, actions);
+    case CallPhase::kMoving:
+      if (!sent) {
+        call.outcome.AttemptEnded(AttemptResult::kNotRun);
+        return EndOf(call, call.refusal);
+      }
+      // The gate may have recorded the move, and then a resend is led to the
+      // new binding. Asking its gate closes it, if it has not run.
+      call.outcome.AttemptEnded(AttemptResult::kUnknown);
+      call.phase = CallPhase::kConfirming;
+      this->sender.Send(now, call, VisitKind::kQueryBinding,
+                        call.new_binding->gate, actions);
+      return std::nullopt;
+    case CallPhase::kConfirming:
+    case CallPhase::kQuerying:
+      call.outcome.AttemptEnded(AttemptResult::kUnknown);
+      return EndUnknown(call, reason);
+    case CallPhase::kJoined:
+      break;
+  }
+  VERIFY(false);
+  return std::nullopt;
+}
+
+CallRunner::Step CallRunner::TakeRunLoss(Instant now,
+                                         Call& call,
+                                         bool sent,
+                                         NodeAddress gate,
+                                         Actions& actions) {
+  const bool is_evidence = !sent && (!call.binding || call.binding_unused);
+  if (is_evidence) {
+    call.outcome.AttemptEnded(AttemptResult::kNotRun);
+    call.binding.reset();
+    call.binding_unused = false;
+    return this->TakeRefusal(now, call, Reason::kUnreachable, Duration{}, gate,
+                             actions);
+  }
+  call.binding_unused = false;
+  call.outcome.AttemptEnded(AttemptResult::kUnknown);
+  const auto reason = sent ? Reason::kConnectionLost : Reason::kUnreachable;
+  if (call.unknown_reason == Reason::kNone) {
+    call.unknown_reason = reason;
+  }
+  if (!call.binding) {
+    call.tried.push_back(gate);
+    return this->SendElsewhere(now, call, true, false, actions);
+  }
+  // Only the gate of the binding can tell what became of it. When it can't be
+  // reached, more attempts at the same moment would fare no better.
+  if (!sent || !this->TakeRetry(now, call)) {
+    return EndOf(call, reason);
+  }
+  this->sender.Send(now, call, VisitKind::kRun, gate, actions);
+  return std::nullopt;
+}
+
+void CallRunner::Abandon(Instant now, Call& call, Actions& actions) {
+  this->sender.Cancel(now, call, actions);
+}
+
+}  // namespace agaterun::decision
--- /dev/null
+++ b/libraries/decision/call_runner.h
@@ -0,0 +1,115 @@
+#ifndef LIBRARIES_DECISION_CALL_RUNNER_H_
+#define LIBRARIES_DECISION_CALL_RUNNER_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "libraries/base/random.h"
+#include "libraries/decision/attempt_sender.h"
+#include "libraries/decision/call.h"
+#include "libraries/decision/call_end.h"
+#include "libraries/decision/endpoint_picker.h"
+#include "libraries/decision/events.h"
+#include "libraries/decision/held_bindings.h"
+#include "libraries/decision/peer_table.h"
+#include "libraries/decision/retry_budget.h"
+
+namespace agaterun::decision {
+
+// Takes single calls from their first attempt to their end: where each attempt
+// goes, whether another follows, and under which binding.
+//
+// Each step returns the call's end, or nothing while an attempt is under way.
+class CallRunner {
+ public:
+  struct Options {
+    NodeAddress self;
+    std::uint64_t incarnation = 0;
+    std::string region;
+    std::string failure_domain;
+  };
+
+  // `peers` and `random` outlive the runner.
+  CallRunner(Options options, PeerTable& peers, RandomSource& random);
+
+  void SetState(const TicketState& state);
+
+  // Sends the first attempt.
+  std::optional<CallEnd> Start(Instant now, Call& call, Actions& actions);
+
+  // Takes the last word on the attempt under way.
+  std::optional<CallEnd> TakeReply(Instant now,
+                                   Call& call,
+                                   const AttemptReplied& event,
+                                   Actions& actions);
+
+  // Takes the loss of the attempt under way.
+  std::optional<CallEnd> TakeLoss(Instant now,
+                                  Call& call,
+                                  bool sent,
+                                  Actions& actions);
+
+  // Gives up the attempt under way.
+  void Abandon(Instant now, Call& call, Actions& actions);
+
+ private:
+  using Step = std::optional<CallEnd>;
+
+  // Sends the next attempt, or issue of a binding, to an endpoint that the
+  // call has not tried. A retry costs one of the allowance and the budget.
+  Step SendElsewhere(Instant now,
+                     Call& call,
+                     bool is_retry,
+                     bool needs_room,
+                     Actions& actions);
+  Step SendTo(Instant now, Call& call, NodeAddress gate, Actions& actions);
+  Step Follow(Instant now,
+              Call& call,
+              const Binding& moved_to,
+              Actions& actions);
+
+  Step TakeRunReply(Instant now,
+                    Call& call,
+                    const AttemptReplied& event,
+                    NodeAddress gate,
+                    Actions& actions);
+  Step TakeIssued(Instant now,
+                  Call& call,
+                  const VisitReply& reply,
+                  NodeAddress gate,
+                  Actions& actions);
+  Step TakeMoveReply(Instant now,
+                     Call& call,
+                     const VisitReply& reply,
+                     Actions& actions);
+  Step TakeQueryReply(Instant now,
+                      Call& call,
+                      const AttemptReplied& event,
+                      Actions& actions);
+  Step TakeRefusal(Instant now,
+                   Call& call,
+                   Reason reason,
+                   Duration retry_after,
+                   NodeAddress gate,
+                   Actions& actions);
+  Step TakeRunLoss(Instant now,
+                   Call& call,
+                   bool sent,
+                   NodeAddress gate,
+                   Actions& actions);
+
+  bool TakeRetry(Instant now, Call& call);
+  bool IsKnownGate(const Call& call, NodeAddress gate) const;
+  std::optional<Binding> TakeHeldBinding(Instant now, NodeAddress gate);
+
+  PeerTable& peers;
+  AttemptSender sender;
+  EndpointPicker picker;
+  RetryBudget budget{{}};
+  HeldBindings held_bindings{{}};
+};
+
+}  // namespace agaterun::decision
+
+#endif  // LIBRARIES_DECISION_CALL_RUNNER_H_
--- /dev/null
+++ b/libraries/decision/call_runner_bindings.cc
@@ -0,0 +1,103 @@
+#include "libraries/decision/call_runner.h"
+
+// How the runner takes bindings: issue, move, query and what was moved.
+namespace agaterun::decision {
+
+namespace {
+
+// Moves of one binding that an origin follows. More come only from a loop.
+constexpr int kMostMovesFollowed = 3;
+
+}  // namespace
+
+CallRunner::Step CallRunner::TakeIssued(Instant now,
+                                        Call& call,
+                                        const VisitReply& reply,
+                                        NodeAddress gate,
+                                        Actions& actions) {
+  const bool is_issued = reply.reason == Reason::kBindingRequired &&
+                         reply.next_binding && reply.next_binding->gate == gate;
+  if (!is_issued) {
+    return this->TakeRefusal(now, call, reply.reason, reply.retry_after, gate,
+                             actions);
+  }
+  if (call.phase == CallPhase::kRebinding) {
+    call.new_binding = reply.next_binding;
+    call.phase = CallPhase::kMoving;
+    this->sender.Send(now, call, VisitKind::kMoveBinding, call.binding->gate,
+                      actions);
+    return std::nullopt;
+  }
+  if (!call.IsNested()) {
+    call.next_binding = reply.next_binding;
+    return CallEnd{.reason = Reason::kBindingRequired};
+  }
+  call.binding = reply.next_binding;
+  call.binding_unused = true;
+  call.phase = CallPhase::kRunning;
+  this->sender.Send(now, call, VisitKind::kRun, gate, actions);
+  return std::nullopt;
+}
+
+CallRunner::Step CallRunner::TakeMoveReply(Instant now,
+                                           Call& call,
+                                           const VisitReply& reply,
+                                           Actions& actions) {
+  if (reply.outcome != Outcome::kNotRun) {
+    // The gate's former life may have recorded a move for another origin.
+    call.outcome.AttemptEnded(AttemptResult::kUnknown);
+    return EndUnknown(call, reply.reason);
+  }
+  call.outcome.AttemptEnded(AttemptResult::kFenced);
+  if (reply.moved_to) {
+    return this->Follow(now, call, *reply.moved_to, actions);
+  }
+  return EndOf(call, call.refusal);
+}
+
+CallRunner::Step CallRunner::TakeQueryReply(Instant now,
+                                            Call& call,
+                                            const AttemptReplied& event,
+                                            Actions& actions) {
+  const auto& reply = event.reply;
+  if (IsWhole(event)) {
+    return EndCompleted(call, event.answer);
+  }
+  if (reply.outcome != Outcome::kNotRun) {
+    call.outcome.AttemptEnded(AttemptResult::kUnknown);
+    return EndUnknown(call, reply.reason);
+  }
+  call.outcome.AttemptEnded(AttemptResult::kFenced);
+  if (reply.moved_to) {
+    return this->Follow(now, call, *reply.moved_to, actions);
+  }
+  return EndOf(
+      call, call.phase == CallPhase::kConfirming ? call.refusal : reply.reason);
+}
+
+CallRunner::Step CallRunner::Follow(Instant now,
+                                    Call& call,
+                                    const Binding& moved_to,
+                                    Actions& actions) {
+  // Whoever recorded the move may have run the request there since.
+  call.outcome.MayHaveRun();
+  const bool may_follow = call.moves_followed < kMostMovesFollowed &&
+                          this->IsKnownGate(call, moved_to.gate);
+  if (!may_follow) {
+    return EndUnknown(call, Reason::kBindingLost);
+  }
+  ++call.moves_followed;
+  call.binding = moved_to;
+  call.new_binding.reset();
+  call.binding_unused = false;
+  const bool is_query = call.phase == CallPhase::kQuerying;
+  if (!is_query) {
+    call.phase = CallPhase::kRunning;
+  }
+  this->sender.Send(now, call,
+                    is_query ? VisitKind::kQueryBinding : VisitKind::kRun,
+                    moved_to.gate, actions);
+  return std::nullopt;
+}
+
+}  // namespace agaterun::decision
--- /dev/null
+++ b/libraries/decision/endpoint_picker.cc
@@ -0,0 +1,151 @@
+#include "libraries/decision/endpoint_picker.h"
+
+#include <algorithm>
+
+#include "libraries/decision/endpoint_score.h"
+
+namespace agaterun::decision {
+
+namespace {
+
+// Weight of the latest sample in a service's typical latency.
+constexpr double kTypicalWeight = 0.05;
+
+// Draws that may hit an unusable candidate before all are looked at.
+constexpr int kBlindDraws = 4;
+
+}  // namespace
+
+EndpointPicker::EndpointPicker(Options options,
+                               PeerTable& peers,
+                               RandomSource& random)
+    : options(std::move(options)), peers(peers), random(random) {}
+
+void EndpointPicker::SetState(const TicketState& state) {
+  std::erase_if(this->groups, [&](const auto& entry) {
+    return state.FindService(entry.first) == nullptr;
+  });
+}
+
+EndpointPicker::Group& EndpointPicker::GroupOf(
+    const std::shared_ptr<const ServiceState>& service) {
+  auto& group = this->groups[service->name];
+  if (group.service == service) {
+    return group;
+  }
+  group.service = service;
+  group.candidates.clear();
+  for (const auto& [endpoint, proximity] :
+       ChooseSubset(service->endpoints, this->options.origin)) {
+    group.candidates.push_back({.node = endpoint->node,
+                                .peer = &this->peers.At(endpoint->node),
+                                .proximity = proximity});
+  }
+  return group;
+}
+
+void EndpointPicker::Observe(const std::string& service, Duration elapsed) {
+  const auto found = this->groups.find(service);
+  if (found == this->groups.end()) {
+    return;
+  }
+  auto& typical = found->second.typical;
+  if (typical == Duration{}) {
+    typical = elapsed;
+    return;
+  }
+  typical += std::chrono::duration_cast<Duration>((elapsed - typical) *
+                                                  kTypicalWeight);
+}
+
+bool EndpointPicker::MayUse(Instant now,
+                            const Candidate& candidate,
+                            const Constraints& constraints) const {
+  if (UsabilityOf(now, *candidate.peer) == Usability::kUnusable) {
+    return false;
+  }
+  if (constraints.needs_room && !HasRoom(now, *candidate.peer)) {
+    return false;
+  }
+  const auto& excluded = constraints.excluded;
+  return std::find(excluded.begin(), excluded.end(), candidate.node) ==
+         excluded.end();
+}
+
+EndpointPicker::Scored EndpointPicker::BestOfTwo(
+    Instant now,
+    const Group& group,
+    std::span<const Candidate> candidates,
+    const Constraints& constraints) {
+  const auto score = [&](const Candidate* candidate) {
+    return Scored{.candidate = candidate,
+                  .score = ScoreOf(now, *candidate->peer,
+                                   {.slots = group.service->slots,
+                                    .typical = group.typical,
+                                    .proximity = candidate->proximity})};
+  };
+  // Nearly always the first draws are usable, so the cost of a choice does not
+  // grow with the number of endpoints.
+  std::array<const Candidate*, 2> drawn = {};
+  std::size_t count = 0;
+  for (int draw = 0; draw < kBlindDraws && count < drawn.size(); ++draw) {
+    const auto& candidate = candidates[this->random.Below(candidates.size())];
+    if (&candidate != drawn[0] && this->MayUse(now, candidate, constraints)) {
+      drawn[count++] = &candidate;
+    }
+  }
+  if (count < drawn.size()) {
+    this->usable.clear();
+    for (const auto& candidate : candidates) {
+      if (this->MayUse(now, candidate, constraints)) {
+        this->usable.push_back(&candidate);
+      }
+    }
+    count = std::min(drawn.size(), this->usable.size());
+    for (std::size_t place = 0; place < count; ++place) {
+      const auto other =
+          place + this->random.Below(this->usable.size() - place);
+      std::swap(this->usable[place], this->usable[other]);
+      drawn[place] = this->usable[place];
+    }
+  }
+  if (count == 0) {
+    return {};
+  }
+  const auto first = score(drawn[0]);
+  if (count == 1) {
+    return first;
+  }
+  const auto second = score(drawn[1]);
+  return second.score < first.score ? second : first;
+}
+
+std::optional<NodeAddress> EndpointPicker::Pick(
+    Instant now,
+    const std::shared_ptr<const ServiceState>& service,
+    const Constraints& constraints) {
+  const auto& group = this->GroupOf(service);
+  // The best of two of each proximity; distance is part of the score, so
+  // requests spill over when the near ones are loaded, and only as far.
+  Scored best;
+  const std::span<const Candidate> all = group.candidates;
+  for (std::size_t begin = 0; begin < all.size();) {
+    auto end = begin + 1;
+    while (end < all.size() && all[end].proximity == all[begin].proximity) {
+      ++end;
+    }
+    const auto scored = this->BestOfTwo(
+        now, group, all.subspan(begin, end - begin), constraints);
+    if (scored.candidate != nullptr &&
+        (best.candidate == nullptr || scored.score < best.score)) {
+      best = scored;
+    }
+    begin = end;
+  }
+  if (best.candidate == nullptr) {
+    return std::nullopt;
+  }
+  return best.candidate->node;
+}
+
+}  // namespace agaterun::decision
--- /dev/null
+++ b/libraries/decision/endpoint_picker.h
@@ -0,0 +1,86 @@
+#ifndef LIBRARIES_DECISION_ENDPOINT_PICKER_H_
+#define LIBRARIES_DECISION_ENDPOINT_PICKER_H_
+
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "libraries/base/random.h"
+#include "libraries/decision/endpoint_subset.h"
+#include "libraries/decision/peer_table.h"
+#include "libraries/decision/ticket_state.h"
+
+namespace agaterun::decision {
+
+// Chooses endpoints for the calls of one origin.
+class EndpointPicker {
+ public:
+  struct Options {
+    SubsetOrigin origin;
+  };
+
+  // What one choice has to respect.
+  struct Constraints {
+    std::span<const NodeAddress> excluded;
+    bool needs_room = false;
+  };
+
+  // `peers` and `random` outlive the picker.
+  EndpointPicker(Options options, PeerTable& peers, RandomSource& random);
+
+  // Drops what was worked out for services that are no longer in force.
+  void SetState(const TicketState& state);
+
+  // The node to send the next request of `service` to, or nothing when no
+  // endpoint may be used.
+  std::optional<NodeAddress> Pick(
+      Instant now,
+      const std::shared_ptr<const ServiceState>& service,
+      const Constraints& constraints);
+
+  // Notes how long a completed attempt of the service took.
+  void Observe(const std::string& service, Duration elapsed);
+
+ private:
+  struct Candidate {
+    NodeAddress node;
+    const PeerState* peer = nullptr;
+    Proximity proximity = Proximity::kElsewhere;
+  };
+
+  // Candidates of one service, nearest first.
+  struct Group {
+    std::shared_ptr<const ServiceState> service;
+    std::vector<Candidate> candidates;
+    Duration typical{};
+  };
+
+  struct Scored {
+    const Candidate* candidate = nullptr;
+    double score = 0;
+  };
+
+  Group& GroupOf(const std::shared_ptr<const ServiceState>& service);
+  bool MayUse(Instant now,
+              const Candidate& candidate,
+              const Constraints& constraints) const;
+  // The better of two usable candidates drawn from `candidates`.
+  Scored BestOfTwo(Instant now,
+                   const Group& group,
+                   std::span<const Candidate> candidates,
+                   const Constraints& constraints);
+
+  Options options;
+  PeerTable& peers;
+  RandomSource& random;
+  std::unordered_map<std::string, Group> groups;  // By service name.
+  // Usable candidates of the draw under way; kept for its storage.
+  std::vector<const Candidate*> usable;
+};
+
+}  // namespace agaterun::decision
+
+#endif  // LIBRARIES_DECISION_ENDPOINT_PICKER_H_
--- /dev/null
+++ b/libraries/decision/endpoint_score.cc
@@ -0,0 +1,143 @@
+#include "libraries/decision/endpoint_score.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace agaterun::decision {
+
+namespace {
+
+// Time that an endpoint is skipped after its first lost attempt. Doubles with
+// each further loss up to the longest.
+constexpr Duration kFirstSkip = 50ms;
+constexpr Duration kLongestSkip = 1s;
+
+// Longest skip once the peer was heard by heartbeat after the loss.
+constexpr Duration kLongestSkipWhenHeard = 200ms;
+
+// Word of a backend server that is down counts this long; then one request may
+// find out.
+constexpr Duration kBackendDownTrusted = 1s;
+
+// A refusal marks an endpoint as full for this long.
+constexpr Duration kRefusalTrusted = 100ms;
+
+// Half-lives of what was told and of what was observed.
+constexpr Duration kReportHalfLife = 200ms;
+constexpr Duration kLatencyHalfLife = 2s;
+constexpr Duration kRefusalHalfLife = 100ms;
+
+// A report can triple a score and never lower it below what was observed: a
+// gate that lies it is idle gains no more than that factor.
+constexpr double kReportWeight = 2;
+
+constexpr double kRefusalWeight = 4;
+
+// Endpoints are compared down to this share of the typical latency. Broken
+// ones that answer errors at once gain no more than that.
+constexpr double kFastestOfTypical = 0.5;
+
+// Requests rise from a tenth over this time at a cold endpoint.
+constexpr Duration kSlowStart = 3s;
+constexpr double kColdShare = 0.1;
+
+// Cost of leaving the own failure domain, and the own region.
+constexpr std::array<double, kProximityCount> kDistanceCost = {1, 2, 16};
+
+constexpr Duration kUnknownLatency = 10ms;
+
+// 1 at age zero, halved by each half-life.
+double Freshness(Instant now, Instant told, Duration half_life) {
+  if (told == Instant{}) {
+    return 0;
+  }
+  const auto age = std::max(Duration{}, now - told);
+  return std::exp2(-static_cast<double>(age.count()) /
+                   static_cast<double>(half_life.count()));
+}
+
+double LatencyOf(Instant now, const PeerState& peer, Duration typical) {
+  const auto usual = static_cast<double>(
+      (typical > Duration{} ? typical : kUnknownLatency).count());
+  if (peer.latency == Duration{}) {
+    return usual;
+  }
+  // An old observation fades, so that an endpoint which was slow once is
+  // tried again.
+  const double fresh = Freshness(now, peer.latency_observed, kLatencyHalfLife);
+  const double seen =
+      usual + (static_cast<double>(peer.latency.count()) - usual) * fresh;
+  return std::max(seen, usual * kFastestOfTypical);
+}
+
+double ReportedUse(const PeerState& peer, int slots) {
+  const auto capacity = std::max<std::uint32_t>(
+      1, peer.load.limit == 0
+             ? static_cast<std::uint32_t>(slots)
+             : std::min(peer.load.limit, static_cast<std::uint32_t>(slots)));
+  const double use =
+      static_cast<double>(peer.load.running + peer.load.queued) / capacity;
+  return std::min(1.0, use);
+}
+
+double Warmth(Instant now, const PeerState& peer) {
+  if (peer.cold_since == Instant{}) {
+    return kColdShare;
+  }
+  const auto warm = static_cast<double>((now - peer.cold_since).count()) /
+                    static_cast<double>(kSlowStart.count());
+  return std::clamp(warm, kColdShare, 1.0);
+}
+
+}  // namespace
+
+Usability UsabilityOf(Instant now, const PeerState& peer) {
+  if (peer.load.leaving || peer.listed_as_leaving) {
+    return Usability::kUnusable;
+  }
+  if (!peer.load.backend_up) {
+    return now - peer.load_reported < kBackendDownTrusted || peer.in_flight > 0
+               ? Usability::kUnusable
+               : Usability::kProbe;
+  }
+  if (peer.losses == 0) {
+    return Usability::kUsable;
+  }
+  constexpr int kMostDoublings = 10;
+  auto skip = kFirstSkip * (1 << std::min(peer.losses - 1, kMostDoublings));
+  skip = std::min<Duration>(skip, peer.last_heard > peer.last_loss
+                                      ? kLongestSkipWhenHeard
+                                      : kLongestSkip);
+  if (now - peer.last_loss < skip || peer.in_flight > 0) {
+    return Usability::kUnusable;
+  }
+  return Usability::kProbe;
+}
+
+bool HasRoom(Instant now, const PeerState& peer) {
+  if (peer.last_refused != Instant{} &&
+      now - peer.last_refused < kRefusalTrusted) {
+    return false;
+  }
+  return peer.load.limit == 0 || now - peer.load_reported > kReportHalfLife ||
+         peer.load.running + peer.load.queued < peer.load.limit;
+}
+
+double ScoreOf(Instant now, const PeerState& peer, const ScoreBasis& basis) {
+  const double latency = LatencyOf(now, peer, basis.typical);
+  // Own requests under way are what can't be lied about. They count against
+  // an eighth of the slots, about one origin's share.
+  constexpr double kOriginShare = 0.125;
+  const double share = std::max(1.0, basis.slots * kOriginShare);
+  const double own = 1 + peer.in_flight / share;
+  const double reported =
+      1 + kReportWeight * ReportedUse(peer, basis.slots) *
+              Freshness(now, peer.load_reported, kReportHalfLife);
+  const double refused =
+      1 + kRefusalWeight * Freshness(now, peer.last_refused, kRefusalHalfLife);
+  const double distance =
+      kDistanceCost[static_cast<std::size_t>(basis.proximity)];
+  return latency * own * reported * refused * distance / Warmth(now, peer);
+}
+
+}  // namespace agaterun::decision
--- /dev/null
+++ b/libraries/decision/endpoint_subset.h
@@ -0,0 +1,54 @@
+#ifndef LIBRARIES_DECISION_ENDPOINT_SUBSET_H_
+#define LIBRARIES_DECISION_ENDPOINT_SUBSET_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "libraries/base/enum_names.h"
+#include "libraries/decision/ticket_state.h"
+
+namespace agaterun::decision {
+
+// How near an endpoint is to an origin.
+enum class Proximity : std::uint8_t {
+  kFailureDomain,  // The origin's own.
+  kRegion,         // The origin's region, another failure domain.
+  kElsewhere,      // Another region.
+};
+
+inline constexpr int kProximityCount = 3;
+
+inline constexpr std::array kProximityNames = {
+    EnumName<Proximity>{Proximity::kFailureDomain, "failure-domain"},
+    EnumName<Proximity>{Proximity::kRegion, "region"},
+    EnumName<Proximity>{Proximity::kElsewhere, "elsewhere"},
+};
+
+// Where the origin stands that a subset is for.
+struct SubsetOrigin {
+  NodeAddress self;
+  std::string region;
+  std::string failure_domain;
+};
+
+struct SubsetMember {
+  const EndpointState* endpoint = nullptr;
+  Proximity proximity = Proximity::kElsewhere;
+};
+
+// Endpoints of one service that an origin speaks with, at most.
+inline constexpr std::size_t kSubsetSize = 24;
+
+// The endpoints that `origin` speaks with: all of them while there are no more
+// than kSubsetSize. The same for the same arguments; a changed list moves as
+// few members as possible. Members point into `endpoints`.
+std::vector<SubsetMember> ChooseSubset(
+    const std::vector<EndpointState>& endpoints,
+    const SubsetOrigin& origin);
+
+}  // namespace agaterun::decision
+
+#endif  // LIBRARIES_DECISION_ENDPOINT_SUBSET_H_
--- a/libraries/decision/origin.cc
+++ b/libraries/decision/origin.cc
@@ -4,146 +4,401 @@
 
 namespace agaterun::decision {
 
+namespace {
+
+// Longest time for a query of a binding, which no route gives a deadline.
+constexpr Duration kQueryDeadline = 1s;
+
+// The key by which thresholds cut a class: the same for every call that one
+// original request causes, so that its chain is admitted or refused as one.
+std::uint16_t AdmissionKeyOf(std::uint64_t request_id) {
+  constexpr std::uint64_t kMultiplier = 0x9e3779b97f4a7c15;
+  constexpr int kShift = 32;
+  return static_cast<std::uint16_t>(((request_id * kMultiplier) >> kShift) %
+                                    kAdmissionKeys);
+}
+
+}  // namespace
+
 Origin::Origin(Options options,
                ParentVisits& parents,
                PeerTable& peers,
                RandomSource& random)
     : options(std::move(options)),
       parents(parents),
-      peers(peers),
       random(random),
-      state(std::make_shared<TicketState>()) {}
+      state(std::make_shared<TicketState>()),
+      runner({.self = this->options.self,
+              .incarnation = this->options.incarnation,
+              .region = this->options.region,
+              .failure_domain = this->options.failure_domain},
+             peers,
+             random) {}
 
 void Origin::SetState(std::shared_ptr<const TicketState> state) {
   this->state = std::move(state);
+  this->runner.SetState(*this->state);
+}
+
+void Origin::Refuse(const CallArrived& event,
+                    Reason reason,
+                    Actions& actions,
+                    Duration retry_after) {
+  // A caller that names a binding may have sent the request before, through
+  // this node or another. Only the binding's gate knows that it did not run.
+  actions.push_back(AnswerCaller{
+      .call = event.call,
+      .outcome = event.binding ? Outcome::kUnknown : Outcome::kNotRun,
+      .reason = reason,
+      .retry_after = retry_after});
 }
 
 void Origin::OnCallArrived(Instant now,
                            const CallArrived& event,
                            Actions& actions) {
-  const auto refuse = [&](Reason reason) {
-    actions.push_back(AnswerCaller{
-        .call = event.call, .outcome = Outcome::kNotRun, .reason = reason});
-  };
-  const auto service = this->state->FindService(event.service);
+  if (this->calls.Size() >= this->options.most_calls) {
+    Refuse(event, Reason::kLimitReached, actions);
+    return;
+  }
+  if (event.kind == VisitKind::kQueryBinding) {
+    this->StartQuery(now, event, actions);
+    return;
+  }
+  auto service = this->state->FindService(event.service);
   if (!service || service->endpoints.empty()) {
-    refuse(Reason::kNoSuchService);
+    Refuse(event, Reason::kNoSuchService, actions);
     return;
   }
   const auto* route = FindRoute(*service, event.method, event.path);
   if (route == nullptr) {
-    refuse(Reason::kNoSuchRoute);
+    Refuse(event, Reason::kNoSuchRoute, actions);
+    return;
+  }
+  auto call = this->MakeCall(now, event, std::move(service), *route);
+  if (!call) {
+    Refuse(event, call.error(), actions);
+    return;
+  }
+  if (this->JoinByKey(now, *call, actions) || this->Shed(now, *call, actions)) {
+    return;
+  }
+  this->Start(now, std::move(*call), route->retries, actions);
+}
+
+void Origin::StartQuery(Instant now,
+                        const CallArrived& event,
+                        Actions& actions) {
+  if (!event.binding) {
+    Refuse(event, Reason::kMalformed, actions);
     return;
   }
   Call call;
-  call.deadline = now + route->deadline;
-  call.parent = event.parent;
-  call.gate =
-      service->endpoints[this->random.Below(service->endpoints.size())].node;
-  call.attempt = AttemptId{.origin = this->options.self,
-                           .incarnation = this->options.incarnation,
-                           .call = event.call,
-                           .number = 1};
-  VisitRequest request{.attempt = call.attempt,
-                       .service = service->name,
-                       .route = route->name,
-                       .remaining = route->deadline,
-                       .importance = route->importance,
-                       .idempotent = route->idempotent,
-                       .fingerprint = event.fingerprint,
-                       .share = event.share};
-  this->calls.emplace(event.call, call);
+  call.id = event.call;
+  call.service = this->state->FindService(event.service);
+  call.deadline =
+      now + std::min(kQueryDeadline, event.timeout.value_or(kQueryDeadline));
+  call.request = {.service = event.service,
+                  .importance = Importance::kCritical,
+                  .fingerprint = event.fingerprint,
+                  .share = event.share};
+  call.outcome = CallOutcome({.may_have_run = true});
+  call.phase = CallPhase::kQuerying;
+  call.binding = event.binding;
+  this->Start(now, std::move(call), 0, actions);
+}
+
+tl::expected<Call, Reason> Origin::MakeCall(
+    Instant now,
+    const CallArrived& event,
+    std::shared_ptr<const ServiceState> service,
+    const RouteState& route) {
+  Call call;
+  call.id = event.call;
+  call.deadline = now + route.deadline;
+  if (event.timeout) {
+    call.deadline = std::min(call.deadline, now + *event.timeout);
+  }
+  call.request = {.service = service->name,
+                  .route = route.name,
+                  .importance = route.importance,
+                  .idempotent = route.idempotent,
+                  .fingerprint = event.fingerprint,
+                  .share = event.share};
   if (event.parent) {
-    this->parents.NestedCallStarted(now, *event.parent);
+    const auto parent = this->parents.FindParent(*event.parent);
+    if (!parent) {
+      return tl::unexpected(Reason::kCancelled);
+    }
+    call.parent = event.parent;
+    call.deadline = std::min(call.deadline, parent->deadline);
+    call.request.importance =
+        std::min(call.request.importance, parent->importance);
+    call.request.admission_key = parent->admission_key;
+    call.request.request_id = parent->request_id;
+    call.request.share = parent->share;
+  } else {
+    call.request.request_id = this->random.Next();
+    call.request.admission_key = AdmissionKeyOf(call.request.request_id);
   }
-  actions.push_back(SendAttempt{.to = call.gate, .request = request});
+  if (call.deadline <= now) {
+    return tl::unexpected(Reason::kDeadlineExceeded);
+  }
+  if (!route.idempotent) {
+    call.binding = event.binding;
+    call.idempotency_key = event.parent ? event.idempotency_key : "";
+  }
+  // Under a caller's binding, an earlier copy of the request may have run.
+  call.outcome = CallOutcome({.may_have_run = call.binding.has_value()});
+  call.service = std::move(service);
+  return call;
 }
 
-void Origin::Finish(Instant now, AnswerCaller answer, Actions& actions) {
-  const auto found = this->calls.find(answer.call);
-  if (found == this->calls.end()) {
-    return;
+bool Origin::JoinByKey(Instant now, Call& call, Actions& actions) {
+  if (call.idempotency_key.empty()) {
+    return false;
+  }
+  const auto answer = [&](AnswerCaller answer) {
+    answer.call = call.id;
+    actions.push_back(std::move(answer));
+    return true;
+  };
+  auto* entry =
+      this->keys.Find(*call.parent, call.request.service, call.idempotency_key);
+  if (entry == nullptr) {
+    entry = this->keys.Add(*call.parent, call.request.service,
+                           call.idempotency_key);
+    if (entry == nullptr) {
+      return answer(
+          {.outcome = Outcome::kNotRun, .reason = Reason::kLimitReached});
+    }
+    entry->fingerprint = call.request.fingerprint;
+    return false;
+  }
+  if (entry->fingerprint != call.request.fingerprint) {
+    return answer({.outcome = Outcome::kNotRun, .reason = Reason::kMalformed});
+  }
+  if (entry->completed) {
+    return answer(*entry->completed);
   }
-  if (const auto& parent = found->second.parent; parent) {
-    this->parents.NestedCallEnded(now, *parent, 0, {});
+  if (entry->running) {
+    call.phase = CallPhase::kJoined;
+    call.leader = *entry->running;
+    this->calls.Find(call.leader)->joined.push_back(call.id);
+    this->parents.NestedCallStarted(now, *call.parent);
+    this->calls.Add(std::move(call));
+    return true;
   }
-  this->calls.erase(found);
-  actions.push_back(std::move(answer));
+  // The first may have run: a repeat asks under the same binding.
+  if (!entry->binding) {
+    return answer(
+        {.outcome = Outcome::kUnknown, .reason = Reason::kBindingLost});
+  }
+  call.binding = entry->binding;
+  call.outcome = CallOutcome({.may_have_run = true});
+  return false;
 }
 
-void Origin::OnCallerGone(Instant now,
-                          const CallerGone& event,
-                          Actions& actions) {
-  const auto found = this->calls.find(event.call);
-  if (found == this->calls.end()) {
-    return;
+bool Origin::Shed(Instant now, const Call& call, Actions& actions) {
+  // Refusing here fences nothing, so a bound call goes to its gate.
+  if (call.binding) {
+    return false;
+  }
+  const auto& request = call.request;
+  const auto verdict = this->thresholds.Decide(
+      now, request.service, request.route, request.importance,
+      request.admission_key, this->random);
+  if (verdict.admitted) {
+    return false;
+  }
+  if (call.parent) {
+    // The parent's answer tells its own origin, so that the next such request
+    // is refused there.
+    this->parents.NestedCallStarted(now, *call.parent);
+    this->parents.NestedCallEnded(
+        now, *call.parent, 0,
+        this->thresholds.InForce(now, request.service, request.route));
+    if (!call.idempotency_key.empty()) {
+      this->keys.Erase(*call.parent, request.service, call.idempotency_key);
+    }
+  }
+  actions.push_back(AnswerCaller{.call = call.id,
+                                 .outcome = Outcome::kNotRun,
+                                 .reason = Reason::kOverloaded,
+                                 .retry_after = verdict.retry_after});
+  return true;
+}
+
+void Origin::Start(Instant now, Call call, int retries, Actions& actions) {
+  if (call.parent) {
+    retries = this->parents.LendAllowance(*call.parent, retries);
+    this->parents.NestedCallStarted(now, *call.parent);
+  }
+  call.allowance = RetryAllowance({.retries = retries});
+  if (!call.idempotency_key.empty()) {
+    this->keys.Find(*call.parent, call.request.service, call.idempotency_key)
+        ->running = call.id;
+  }
+  auto& stored = this->calls.Add(std::move(call));
+  if (const auto end = this->runner.Start(now, stored, actions); end) {
+    this->Finish(now, stored, *end, actions);
   }
-  actions.push_back(CancelAttempt{.to = found->second.gate,
-                                  .attempt = found->second.attempt});
-  this->Finish(now,
-               AnswerCaller{.call = event.call, .reason = Reason::kCancelled},
-               actions);
+}
+
+Call* Origin::FindCurrent(const AttemptId& attempt) {
+  auto* call = this->calls.Find(attempt.call);
+  // Late and repeated words on attempts that are over change nothing.
+  const bool is_current =
+      call != nullptr && attempt.origin == this->options.self &&
+      attempt.incarnation == this->options.incarnation && call->attempt &&
+      call->attempt->number == attempt.number;
+  return is_current ? call : nullptr;
 }
 
 void Origin::OnAttemptReplied(Instant now,
                               const AttemptReplied& event,
                               Actions& actions) {
-  this->Finish(now,
-               AnswerCaller{.call = event.reply.attempt.call,
-                            .outcome = event.reply.outcome,
-                            .reason = event.reply.reason,
-                            .answer = event.answer,
-                            .retry_after = event.reply.retry_after,
-                            .next_binding = event.reply.next_binding},
-               actions);
+  const auto& reply = event.reply;
+  auto* call = this->FindCurrent(reply.attempt);
+  if (call == nullptr) {
+    return;
+  }
+  if (!reply.thresholds.empty()) {
+    call->thresholds = reply.thresholds;
+  }
+  if (call->attempt->kind == VisitKind::kRun ||
+      call->attempt->kind == VisitKind::kIssueBinding) {
+    this->thresholds.Learn(now, call->request.service, call->request.route,
+                           reply.thresholds, reply.retry_after);
+  }
+  if (const auto end = this->runner.TakeReply(now, *call, event, actions);
+      end) {
+    this->Finish(now, *call, *end, actions);
+  }
 }
 
 void Origin::OnAttemptLost(Instant now,
                            const AttemptLost& event,
                            Actions& actions) {
-  this->Finish(
-      now,
-      AnswerCaller{.call = event.attempt.call,
-                   .outcome = event.sent ? Outcome::kUnknown : Outcome::kNotRun,
-                   .reason = event.sent ? Reason::kConnectionLost
-                                        : Reason::kUnreachable},
-      actions);
+  auto* call = this->FindCurrent(event.attempt);
+  if (call == nullptr) {
+    return;
+  }
+  if (const auto end = this->runner.TakeLoss(now, *call, event.sent, actions);
+      end) {
+    this->Finish(now, *call, *end, actions);
+  }
 }
 
-void Origin::OnVisitEnded(Instant now, VisitId visit, Actions& actions) {
-  std::vector<CallId> nested;
-  for (const auto& [id, call] : this->calls) {
-    if (call.parent == visit) {
-      nested.push_back(id);
-    }
+void Origin::OnCallerGone(Instant now,
+                          const CallerGone& event,
+                          Actions& actions) {
+  auto* call = this->calls.Find(event.call);
+  if (call == nullptr || call->answered) {
+    return;
   }
-  for (const auto id : nested) {
-    this->OnCallerGone(now, CallerGone{.call = id}, actions);
+  if (call->joined.empty()) {
+    this->GiveUp(now, *call, Reason::kCancelled, actions);
+    return;
   }
+  // Others wait for its answer: it runs on without its own caller.
+  call->answered = true;
+  actions.push_back(
+      AnswerCaller{.call = call->id, .reason = Reason::kCancelled});
 }
 
-void Origin::OnTick(Instant now, Actions& actions) {
-  std::vector<CallId> expired;
-  for (const auto& [id, call] : this->calls) {
-    if (call.deadline <= now) {
-      expired.push_back(id);
+void Origin::OnVisitEnded(Instant now, VisitId visit, Actions& actions) {
+  for (const auto id : this->calls.NestedIn(visit)) {
+    // A call may have ended with the one that it joined.
+    if (auto* call = this->calls.Find(id); call != nullptr) {
+      this->GiveUp(now, *call, Reason::kCancelled, actions);
     }
   }
-  for (const auto id : expired) {
-    const auto& call = this->calls.at(id);
-    actions.push_back(CancelAttempt{.to = call.gate, .attempt = call.attempt});
-    this->Finish(now,
-                 AnswerCaller{.call = id, .reason = Reason::kDeadlineExceeded},
-                 actions);
+  this->keys.EraseVisit(visit);
+}
+
+void Origin::OnTick(Instant now, Actions& actions) {
+  while (auto* call = this->calls.FirstDue(now)) {
+    this->GiveUp(now, *call, Reason::kDeadlineExceeded, actions);
   }
 }
 
 std::optional<Instant> Origin::NextWake() const {
-  std::optional<Instant> next;
-  for (const auto& [id, call] : this->calls) {
-    next = next ? std::min(*next, call.deadline) : call.deadline;
+  return this->calls.NextDeadline();
+}
+
+void Origin::GiveUp(Instant now, Call& call, Reason reason, Actions& actions) {
+  if (call.phase == CallPhase::kJoined) {
+    std::erase(this->calls.Find(call.leader)->joined, call.id);
+    // Whatever its leader does is true of it as well.
+    call.outcome.MayHaveRun();
+  } else {
+    this->runner.Abandon(now, call, actions);
+  }
+  this->Finish(now, call, CallEnd{.reason = reason}, actions);
+}
+
+void Origin::Finish(Instant now,
+                    Call& call,
+                    const CallEnd& end,
+                    Actions& actions) {
+  AnswerCaller answer{.call = call.id,
+                      .outcome = call.outcome.Current(),
+                      .reason = end.reason,
+                      .answer = end.answer,
+                      .retry_after = call.retry_after};
+  if (!call.IsNested()) {
+    answer.next_binding = call.next_binding;
+  }
+  if (call.phase != CallPhase::kJoined) {
+    this->RecordKey(call, answer);
+  }
+  this->EndJoined(now, call, answer, actions);
+  if (call.parent) {
+    this->parents.NestedCallEnded(now, *call.parent, call.allowance.Remaining(),
+                                  call.thresholds);
+  }
+  if (!call.answered) {
+    actions.push_back(std::move(answer));
+  }
+  this->calls.Erase(call.id);
+}
+
+void Origin::RecordKey(const Call& call, const AnswerCaller& answer) {
+  if (call.idempotency_key.empty()) {
+    return;
+  }
+  const auto visit = *call.parent;
+  auto* entry =
+      this->keys.Find(visit, call.request.service, call.idempotency_key);
+  if (entry == nullptr) {
+    return;
+  }
+  entry->running.reset();
+  switch (answer.outcome) {
+    case Outcome::kCompleted:
+      entry->completed = answer;
+      return;
+    case Outcome::kUnknown:
+      entry->binding = call.binding;
+      return;
+    case Outcome::kNotRun:
+      // A repeat starts afresh.
+      this->keys.Erase(visit, call.request.service, call.idempotency_key);
+      return;
+  }
+}
+
+void Origin::EndJoined(Instant now,
+                       Call& call,
+                       AnswerCaller answer,
+                       Actions& actions) {
+  for (const auto id : call.joined) {
+    this->parents.NestedCallEnded(now, *call.parent, 0, call.thresholds);
+    answer.call = id;
+    actions.push_back(answer);
+    this->calls.Erase(id);
   }
-  return next;
+  call.joined.clear();
 }
 
 }  // namespace agaterun::decision
--- /dev/null
+++ b/libraries/decision/path_thresholds.h
@@ -0,0 +1,81 @@
+#ifndef LIBRARIES_DECISION_PATH_THRESHOLDS_H_
+#define LIBRARIES_DECISION_PATH_THRESHOLDS_H_
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "libraries/base/random.h"
+#include "libraries/decision/messages.h"
+
+namespace agaterun::decision {
+
+using ServiceThresholds =
+    std::vector<std::pair<std::string, AdmissionThreshold>>;
+
+// What the paths behind the routes admit, as answers told it, so that a
+// request which a deep service would refuse is refused before any work.
+class PathThresholds {
+ public:
+  struct Options {
+    std::size_t most_routes = 1024;
+    std::size_t most_services = 32;  // On the path behind one route.
+  };
+
+  // Verdict on one request.
+  struct Verdict {
+    bool admitted = true;
+    Duration retry_after{};
+  };
+
+  explicit PathThresholds(Options options) : options(options) {}
+
+  // Takes the thresholds that an answer of `service` and `route` carried, and
+  // when it told refused callers to come back; zero says nothing.
+  void Learn(Instant now,
+             std::string_view service,
+             std::string_view route,
+             const ServiceThresholds& thresholds,
+             Duration retry_after);
+
+  // Decides on a request of this class and key.
+  Verdict Decide(Instant now,
+                 std::string_view service,
+                 std::string_view route,
+                 Importance importance,
+                 std::uint16_t admission_key,
+                 RandomSource& random);
+
+  // What is in force at `now` behind a route.
+  ServiceThresholds InForce(Instant now,
+                            std::string_view service,
+                            std::string_view route) const;
+
+ private:
+  struct Level {
+    std::string service;
+    double value = 0;  // Classes and keys admitted, in keys.
+    Instant told{};
+  };
+
+  struct Route {
+    std::vector<Level> levels;
+    Duration retry_after{};
+    Instant told{};
+    Instant last_probe{};
+  };
+
+  static double InForce(Instant now, const Level& level);
+  const Route* Find(std::string_view service, std::string_view route) const;
+  Route* Find(std::string_view service, std::string_view route);
+
+  Options options;
+  std::unordered_map<std::string, Route> routes;  // By service and route name.
+};
+
+}  // namespace agaterun::decision
+
+#endif  // LIBRARIES_DECISION_PATH_THRESHOLDS_H_
--- a/libraries/decision/peer_table.cc
+++ b/libraries/decision/peer_table.cc
@@ -1,7 +1,31 @@
 #include "libraries/decision/peer_table.h"
 
+#include "libraries/base/verify.h"
+
 namespace agaterun::decision {
 
+namespace {
+
+// Weight of the latest sample in the mean latency.
+constexpr double kLatencyWeight = 0.2;
+
+void ObserveLatency(Instant now, PeerState& peer, Duration elapsed) {
+  if (peer.latency == Duration{}) {
+    peer.latency = elapsed;
+  } else {
+    peer.latency += std::chrono::duration_cast<Duration>(
+        (elapsed - peer.latency) * kLatencyWeight);
+  }
+  peer.latency_observed = now;
+}
+
+void EndAttempt(PeerState& peer) {
+  VERIFY(peer.in_flight > 0);
+  --peer.in_flight;
+}
+
+}  // namespace
+
 PeerState& PeerTable::At(NodeAddress address) {
   return this->peers[address];
 }
@@ -15,9 +39,9 @@
   auto& peer = this->At(address);
   if (peer.first_heard == Instant{}) {
     peer.first_heard = now;
+    peer.cold_since = now;
   }
   peer.last_heard = now;
-  peer.losses = 0;
 }
 
 void PeerTable::ReportLoad(Instant now,
@@ -25,6 +49,9 @@
                            const LoadReport& load) {
   this->Heard(now, address);
   auto& peer = this->At(address);
+  if (load.backend_up && !peer.load.backend_up) {
+    peer.cold_since = now;
+  }
   peer.load = load;
   peer.load_reported = now;
 }
@@ -37,11 +64,57 @@
     peer = PeerState{.incarnation = heartbeat.incarnation,
                      .first_heard = now,
                      .listed_as_leaving = peer.listed_as_leaving,
-                     .in_flight = peer.in_flight};
+                     .in_flight = peer.in_flight,
+                     .cold_since = now};
   }
   this->ReportLoad(now, heartbeat.from, heartbeat.load);
   peer.state_digest = heartbeat.state_digest;
   return is_new;
 }
 
+void PeerTable::AttemptStarted(NodeAddress address) {
+  ++this->At(address).in_flight;
+}
+
+void PeerTable::AttemptCompleted(Instant now,
+                                 NodeAddress address,
+                                 Duration elapsed) {
+  auto& peer = this->At(address);
+  EndAttempt(peer);
+  peer.losses = 0;
+  ObserveLatency(now, peer, elapsed);
+}
+
+void PeerTable::AttemptRefused(Instant now,
+                               NodeAddress address,
+                               Reason reason) {
+  auto& peer = this->At(address);
+  EndAttempt(peer);
+  // A refusal is a word: the peer can be reached. Its time is no latency, or
+  // a gate that refuses at once would look like the fastest of all.
+  peer.losses = 0;
+  if (reason == Reason::kOverloaded || reason == Reason::kLimitReached) {
+    peer.last_refused = now;
+  }
+}
+
+void PeerTable::AttemptLost(Instant now, NodeAddress address) {
+  auto& peer = this->At(address);
+  EndAttempt(peer);
+  ++peer.losses;
+  peer.last_loss = now;
+}
+
+void PeerTable::AttemptAbandoned(Instant now,
+                                 NodeAddress address,
+                                 Duration elapsed) {
+  auto& peer = this->At(address);
+  EndAttempt(peer);
+  // It would have taken longer still. Without this sample an endpoint that
+  // never answers would look idle after each deadline.
+  if (elapsed > peer.latency) {
+    ObserveLatency(now, peer, elapsed);
+  }
+}
+
 }  // namespace agaterun::decision
--- a/libraries/decision/peer_table.h
+++ b/libraries/decision/peer_table.h
@@ -22,12 +22,21 @@
   bool listed_as_leaving = false;
   // Attempts of this node that are under way there.
   int in_flight = 0;
-  // Attempts lost without a word since the last word.
+  // Attempts lost without a word since the last answer to one.
   int losses = 0;
   Instant last_loss{};
+  // Mean time of completed attempts, recent ones first; zero without any.
+  Duration latency{};
+  Instant latency_observed{};
+  // Start of what may be a cold backend server: first heard, a new life of the
+  // node, or the backend server is back.
+  Instant cold_since{};
+  // Last refusal for overload.
+  Instant last_refused{};
 };
 
-// Peers by address. Bounded: the tickets and the host list name them.
+// Peers by address. Bounded: the tickets and the host list name them. States
+// stay where they are, so that readers may keep pointers to them.
 class PeerTable {
  public:
   // The peer's state, made when it is new.
@@ -36,7 +45,7 @@
   // The peer's state, or nullptr.
   const PeerState* Find(NodeAddress address) const;
 
-  // Notes a word from the peer.
+  // Notes a word from the peer, of whatever kind.
   void Heard(Instant now, NodeAddress address);
 
   // Notes the load that the peer told of itself.
@@ -46,6 +55,21 @@
   // the process had told. Returns true when the incarnation is new.
   bool ReportHeartbeat(Instant now, const Heartbeat& heartbeat);
 
+  // Notes that an attempt of this node left for the peer.
+  void AttemptStarted(NodeAddress address);
+
+  // Notes that the peer completed an attempt after `elapsed`.
+  void AttemptCompleted(Instant now, NodeAddress address, Duration elapsed);
+
+  // Notes the peer's word that it did not complete an attempt.
+  void AttemptRefused(Instant now, NodeAddress address, Reason reason);
+
+  // Notes that an attempt ended without a word.
+  void AttemptLost(Instant now, NodeAddress address);
+
+  // Notes that this node gave up an attempt after `elapsed`.
+  void AttemptAbandoned(Instant now, NodeAddress address, Duration elapsed);
+
   const std::unordered_map<NodeAddress, PeerState>& All() const {
     return this->peers;
   }
--- /dev/null
+++ b/libraries/decision/retry_rule.cc
@@ -0,0 +1,38 @@
+#include "libraries/decision/retry_rule.h"
+
+namespace agaterun::decision {
+
+RetryRule RuleForRefusal(Reason reason) {
+  switch (reason) {
+    case Reason::kOverloaded:
+    case Reason::kLimitReached:
+      // One endpoint may be hot while another idles; more than one more try
+      // would add load to a service that sheds it.
+      return RetryRule::kOnceWithRoom;
+    case Reason::kLeaving:
+    case Reason::kUnreachable:
+    case Reason::kBackendDown:
+    case Reason::kWaitingForState:
+      // Says something of one endpoint and nothing of the service.
+      return RetryRule::kElsewhere;
+    case Reason::kNone:
+    case Reason::kExhausted:
+    case Reason::kDeadlineExceeded:
+    case Reason::kBackendFailed:
+    case Reason::kConnectionLost:
+    case Reason::kNoSuchService:
+    case Reason::kNoSuchRoute:
+    case Reason::kBindingRequired:
+    case Reason::kBindingLost:
+    case Reason::kBindingFenced:
+    case Reason::kInProgress:
+    case Reason::kSuspect:
+    case Reason::kConvicted:
+    case Reason::kCancelled:
+    case Reason::kMalformed:
+      return RetryRule::kNever;
+  }
+  return RetryRule::kNever;
+}
+
+}  // namespace agaterun::decision
--- /dev/null
+++ b/libraries/decision/retry_rule.h
@@ -0,0 +1,24 @@
+#ifndef LIBRARIES_DECISION_RETRY_RULE_H_
+#define LIBRARIES_DECISION_RETRY_RULE_H_
+
+#include <cstdint>
+
+#include "libraries/decision/request_types.h"
+
+namespace agaterun::decision {
+
+// What the origin just above a refusal may do about it.
+enum class RetryRule : std::uint8_t {
+  kNever,
+  // Once, at an endpoint that is believed to have room.
+  kOnceWithRoom,
+  // At another endpoint, as long as the allowance lasts.
+  kElsewhere,
+};
+
+// The rule for an attempt that was not run for `reason`.
+RetryRule RuleForRefusal(Reason reason);
+
+}  // namespace agaterun::decision
+
+#endif  // LIBRARIES_DECISION_RETRY_RULE_H_
