--- a/libraries/decision/call_runner.cc
+++ b/libraries/decision/call_runner.cc
@@ -153,10 +153,9 @@
     case CallPhase::kRebinding:
       return this->TakeIssued(now, call, reply, attempt.gate, actions);
     case CallPhase::kMoving:
-      return this->TakeMoveReply(now, call, reply, actions);
     case CallPhase::kConfirming:
     case CallPhase::kQuerying:
-      return this->TakeQueryReply(now, call, event, actions);
+      return this->TakeBindingReply(now, call, event, actions);
     case CallPhase::kJoined:
       break;
   }
--- a/libraries/decision/call_runner.h
+++ b/libraries/decision/call_runner.h
@@ -79,14 +79,11 @@
                   const VisitReply& reply,
                   NodeAddress gate,
                   Actions& actions);
-  Step TakeMoveReply(Instant now,
-                     Call& call,
-                     const VisitReply& reply,
-                     Actions& actions);
-  Step TakeQueryReply(Instant now,
-                      Call& call,
-                      const AttemptReplied& event,
-                      Actions& actions);
+  // Takes a gate's word on a binding that it was asked about or is to move.
+  Step TakeBindingReply(Instant now,
+                        Call& call,
+                        const AttemptReplied& event,
+                        Actions& actions);
   Step TakeRefusal(Instant now,
                    Call& call,
                    Reason reason,
--- a/libraries/decision/call_runner_bindings.cc
+++ b/libraries/decision/call_runner_bindings.cc
@@ -39,31 +39,17 @@
   return std::nullopt;
 }
 
-CallRunner::Step CallRunner::TakeMoveReply(Instant now,
-                                           Call& call,
-                                           const VisitReply& reply,
-                                           Actions& actions) {
-  if (reply.outcome != Outcome::kNotRun) {
-    // The gate's former life may have recorded a move for another origin.
-    call.outcome.AttemptEnded(AttemptResult::kUnknown);
-    return EndUnknown(call, reply.reason);
-  }
-  call.outcome.AttemptEnded(AttemptResult::kFenced);
-  if (reply.moved_to) {
-    return this->Follow(now, call, *reply.moved_to, actions);
-  }
-  return EndOf(call, call.refusal);
-}
-
-CallRunner::Step CallRunner::TakeQueryReply(Instant now,
-                                            Call& call,
-                                            const AttemptReplied& event,
-                                            Actions& actions) {
+CallRunner::Step CallRunner::TakeBindingReply(Instant now,
+                                              Call& call,
+                                              const AttemptReplied& event,
+                                              Actions& actions) {
   const auto& reply = event.reply;
   if (IsWhole(event)) {
     return EndCompleted(call, event.answer);
   }
   if (reply.outcome != Outcome::kNotRun) {
+    // Also of a move: the gate's former life may have recorded another, and
+    // the request may have run where that led.
     call.outcome.AttemptEnded(AttemptResult::kUnknown);
     return EndUnknown(call, reply.reason);
   }
@@ -72,7 +58,7 @@
     return this->Follow(now, call, *reply.moved_to, actions);
   }
   return EndOf(
-      call, call.phase == CallPhase::kConfirming ? call.refusal : reply.reason);
+      call, call.phase == CallPhase::kQuerying ? reply.reason : call.refusal);
 }
 
 CallRunner::Step CallRunner::Follow(Instant now,
--- a/libraries/decision/path_thresholds.cc
+++ b/libraries/decision/path_thresholds.cc
@@ -85,6 +85,20 @@
   return FindIn(this->routes, service, route);
 }
 
+PathThresholds::Level* PathThresholds::LevelOf(Route& route,
+                                               const std::string& service) {
+  for (auto& level : route.levels) {
+    if (level.service == service) {
+      return &level;
+    }
+  }
+  if (route.levels.size() >= this->options.most_services) {
+    return nullptr;
+  }
+  route.levels.push_back({.service = service, .value = kAdmitsAll});
+  return &route.levels.back();
+}
+
 void PathThresholds::Learn(Instant now,
                            std::string_view service,
                            std::string_view route,
@@ -111,18 +125,11 @@
                       (retry_after - known.retry_after) * kRetryAfterWeight);
   }
   for (const auto& [name, threshold] : thresholds) {
-    auto level = std::find_if(known.levels.begin(), known.levels.end(),
-                              [&](const auto& l) { return l.service == name; });
-    if (level == known.levels.end()) {
-      if (known.levels.size() >= this->options.most_services) {
-        continue;
-      }
-      known.levels.push_back({.service = name, .value = kAdmitsAll});
-      level = std::prev(known.levels.end());
+    if (auto* level = this->LevelOf(known, name); level != nullptr) {
+      const double before = InForce(now, *level);
+      level->value = before + kNewsWeight * (ToLevel(threshold) - before);
+      level->told = now;
     }
-    const double before = InForce(now, *level);
-    level->value = before + kNewsWeight * (ToLevel(threshold) - before);
-    level->told = now;
   }
   // What admits everything again is forgotten, so the table stays small.
   std::erase_if(known.levels, [&](const auto& level) {
--- a/libraries/decision/path_thresholds.h
+++ b/libraries/decision/path_thresholds.h
@@ -72,6 +72,10 @@
   const Route* Find(std::string_view service, std::string_view route) const;
   Route* Find(std::string_view service, std::string_view route);
 
+  // The level of one service on the route's path, made when it is new;
+  // nullptr when the path has too many.
+  Level* LevelOf(Route& route, const std::string& service);
+
   Options options;
   std::unordered_map<std::string, Route> routes;  // By service and route name.
 };
