--- /dev/null
+++ b/libraries/node/connection.cc
@@ -0,0 +1,391 @@
+#include "libraries/node/connection.h"
+
+#include <asio/buffer.hpp>
+#include <asio/post.hpp>
+#include <asio/write.hpp>
+#include <limits>
+#include <utility>
+
+#include "libraries/base/clock.h"
+#include "libraries/node/socket_options.h"
+
+namespace agaterun::node {
+
+namespace {
+
+using asio::ip::tcp;
+
+constexpr std::size_t kScratchBytes = 64 * 1024;
+constexpr int kReadsPerWakeup = 16;
+// A peer that takes visits and never replies is dropped past this many.
+constexpr std::size_t kVisitsInFlight = 64 * 1024;
+// Empty containers past these sizes give their memory back.
+constexpr std::size_t kKeptFrames = 16;
+constexpr std::size_t kKeptBuckets = 64;
+constexpr Instant::rep kNever = std::numeric_limits<Instant::rep>::max();
+
+Instant Now() {
+  return MonotonicClock().Now();
+}
+
+}  // namespace
+
+Connection::Connection(Strand strand,
+                       tcp::socket socket,
+                       Options options,
+                       std::shared_ptr<ConnectionOwner> owner)
+    : options(options),
+      owner(std::move(owner)),
+      strand(std::move(strand)),
+      socket(std::move(socket)),
+      reader(options.frame_bytes),
+      deadline((Now() + options.connect_timeout).count()) {}
+
+void Connection::Connect(std::uint32_t self_ip, NodeAddress peer) {
+  this->outgoing = true;
+  this->SetPeer(peer, 0);
+  asio::post(this->strand, [self = this->shared_from_this(), self_ip] {
+    self->StartConnect(self_ip);
+  });
+}
+
+void Connection::StartConnect(std::uint32_t self_ip) {
+  if (this->state != State::kConnecting) {
+    return;
+  }
+  if (const auto error = OpenFrom(this->socket, self_ip); error) {
+    this->Close(CloseCause::kLost, error.message());
+    return;
+  }
+  const tcp::endpoint target(asio::ip::address_v4(this->peer.ip),
+                             this->peer.port);
+  this->socket.async_connect(
+      target, [self = this->shared_from_this()](const std::error_code& result) {
+        self->FinishConnect(result);
+      });
+}
+
+void Connection::FinishConnect(const std::error_code& error) {
+  if (this->state == State::kClosed) {
+    return;
+  }
+  if (error) {
+    this->Close(CloseCause::kLost, error.message());
+    return;
+  }
+  PrepareForFrames(this->socket);
+  this->state = State::kOpen;
+  this->NoteActivity();
+  this->owner->OnConnected(*this);
+  this->StartRead();
+  this->StartWrite();
+}
+
+void Connection::StartTaken() {
+  asio::post(this->strand, [self = this->shared_from_this()] {
+    if (self->state == State::kConnecting) {
+      PrepareForFrames(self->socket);
+      // The deadline stays as it is until the greeting came.
+      self->state = State::kOpen;
+      self->StartRead();
+    }
+  });
+}
+
+void Connection::StartRead() {
+  this->socket.async_wait(
+      tcp::socket::wait_read,
+      [self = this->shared_from_this()](const std::error_code& error) {
+        self->OnReadable(error);
+      });
+}
+
+void Connection::OnReadable(const std::error_code& error) {
+  if (this->state == State::kClosed) {
+    return;
+  }
+  if (error) {
+    this->Close(CloseCause::kLost, error.message());
+    return;
+  }
+  bool drained = false;
+  for (int round = 0; round < kReadsPerWakeup && !drained; ++round) {
+    if (!this->ReadOnce(drained)) {
+      return;
+    }
+  }
+  this->StartRead();
+}
+
+// Waiting holds no buffer: bytes land in one that the thread shares among its
+// connections, and only the rest of a cut frame is kept.
+bool Connection::ReadOnce(bool& drained) {
+  thread_local std::vector<char> scratch(kScratchBytes);
+  std::error_code error;
+  const auto bytes = this->socket.read_some(asio::buffer(scratch), error);
+  if (error == asio::error::would_block) {
+    drained = true;
+    return true;
+  }
+  if (error) {
+    if (error == asio::error::eof && this->reader.IsInsideFrame()) {
+      this->Close(CloseCause::kRejected,
+                  "the connection ended inside a frame; look at why the peer "
+                  "broke off");
+    } else if (error == asio::error::eof) {
+      this->Close(CloseCause::kPeerClosed, "the peer closed the connection");
+    } else {
+      this->Close(CloseCause::kLost, error.message());
+    }
+    return false;
+  }
+  drained = bytes < scratch.size();
+  this->owner->CountReceived(bytes);
+  const auto fed = this->reader.Feed(
+      std::string_view(scratch.data(), bytes),
+      [this](const FrameHeader& header, std::string_view payload) {
+        return this->owner->OnFrame(*this, header, payload);
+      });
+  if (!fed) {
+    this->Close(fed.error().kind == ErrorKind::kMalformedFrame
+                    ? CloseCause::kRejected
+                    : CloseCause::kRefused,
+                fed.error().message);
+    return false;
+  }
+  if (this->has_peer) {
+    this->NoteActivity();
+  }
+  return this->state != State::kClosed;
+}
+
+void Connection::Send(OutgoingFrame frame) {
+  const auto size = frame.bytes.size();
+  frame.queued_at = Now();
+  const bool fits =
+      this->unsent.fetch_add(size) + size <= this->options.unsent_bytes;
+  // Losses are told from the strand, never from inside the caller's call.
+  asio::post(this->strand, [self = this->shared_from_this(), fits,
+                            frame = std::move(frame)]() mutable {
+    if (fits) {
+      self->Enqueue(std::move(frame));
+    } else {
+      self->RefuseForSpace(frame);
+    }
+  });
+}
+
+void Connection::RefuseForSpace(const OutgoingFrame& frame) {
+  this->unsent -= frame.bytes.size();
+  if (frame.attempt) {
+    this->owner->OnVisitLost(*frame.attempt, false);
+    return;
+  }
+  // Any other frame has nobody to tell. Its peer finds out by the close.
+  this->Close(CloseCause::kLost, "the peer does not read what it is sent");
+}
+
+void Connection::Enqueue(OutgoingFrame frame) {
+  if (this->state == State::kClosed || this->state == State::kDraining) {
+    this->unsent -= frame.bytes.size();
+    if (frame.attempt) {
+      this->owner->OnVisitLost(*frame.attempt, false);
+    }
+    return;
+  }
+  if (frame.attempt) {
+    this->visits.emplace(*frame.attempt, false);
+  }
+  this->waiting.push_back(std::move(frame));
+  if (this->visits.size() > kVisitsInFlight) {
+    this->Close(CloseCause::kLost, "the peer answers no visits");
+    return;
+  }
+  this->StartWrite();
+}
+
+void Connection::StartWrite() {
+  if (this->write_running || this->waiting.empty() ||
+      this->state == State::kConnecting || this->state == State::kClosed) {
+    return;
+  }
+  // All that queued up while the last write ran goes out in one.
+  this->writing.swap(this->waiting);
+  const auto now = Now();
+  const auto digest = this->owner->StateDigest();
+  std::vector<asio::const_buffer> buffers;
+  buffers.reserve(this->writing.size());
+  for (auto& frame : this->writing) {
+    frame.Seal(now - frame.queued_at, digest);
+    buffers.emplace_back(frame.bytes.data(), frame.bytes.size());
+  }
+  this->write_running = true;
+  asio::async_write(this->socket, buffers,
+                    [self = this->shared_from_this()](
+                        const std::error_code& error, std::size_t bytes) {
+                      self->OnWritten(error, bytes);
+                    });
+}
+
+void Connection::MarkWritten(std::size_t bytes) {
+  std::size_t offset = 0;
+  for (const auto& frame : this->writing) {
+    if (frame.attempt && offset < bytes) {
+      if (const auto visit = this->visits.find(*frame.attempt);
+          visit != this->visits.end()) {
+        visit->second = true;
+      }
+    }
+    offset += frame.bytes.size();
+  }
+  this->unsent -= offset;
+  this->writing.clear();
+  if (this->writing.capacity() > kKeptFrames) {
+    this->writing.shrink_to_fit();
+  }
+}
+
+void Connection::OnWritten(const std::error_code& error, std::size_t bytes) {
+  this->write_running = false;
+  this->owner->CountSent(bytes);
+  this->MarkWritten(bytes);
+  if (this->state == State::kClosed) {
+    this->FinishClose();
+    return;
+  }
+  if (error) {
+    this->Close(CloseCause::kLost, error.message());
+    return;
+  }
+  if (this->state == State::kOpen && this->has_peer) {
+    this->NoteActivity();
+  }
+  this->StartWrite();
+  if (this->state == State::kDraining && !this->write_running) {
+    this->ShutDownSending();
+  }
+}
+
+bool Connection::FinishVisit(const decision::AttemptId& attempt) {
+  if (this->visits.erase(attempt) == 0) {
+    return false;
+  }
+  if (this->visits.empty() && this->visits.bucket_count() > kKeptBuckets) {
+    this->visits = {};
+  }
+  return true;
+}
+
+void Connection::SetPeer(NodeAddress address, std::uint64_t incarnation) {
+  this->peer = address;
+  this->peer_incarnation = incarnation;
+  this->has_peer = true;
+}
+
+std::uint32_t Connection::RemoteIp() const {
+  std::error_code error;
+  const auto remote = this->socket.remote_endpoint(error);
+  return error ? 0 : remote.address().to_v4().to_uint();
+}
+
+std::string Connection::RemoteName() const {
+  return this->has_peer ? this->peer.ToString() : this->remote_name;
+}
+
+void Connection::RequestClose(CloseCause cause, std::string reason) {
+  this->usable = false;
+  asio::post(this->strand,
+             [self = this->shared_from_this(), cause,
+              reason = std::move(reason)] { self->Close(cause, reason); });
+}
+
+void Connection::RequestDrain() {
+  this->usable = false;
+  asio::post(this->strand,
+             [self = this->shared_from_this()] { self->Drain(); });
+}
+
+void Connection::Drain() {
+  if (this->state == State::kClosed) {
+    return;
+  }
+  if (this->state == State::kConnecting) {
+    this->Close(CloseCause::kStopped, "stopped");
+    return;
+  }
+  this->state = State::kDraining;
+  this->deadline = (Now() + this->options.connect_timeout).count();
+  if (!this->write_running && this->waiting.empty()) {
+    this->ShutDownSending();
+  }
+}
+
+// A close with unread bytes in the buffer would reset the connection and take
+// replies with it that the peer has not read. So the peer closes first.
+void Connection::ShutDownSending() {
+  std::error_code ignored;
+  this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+void Connection::Close(CloseCause cause, const std::string& reason) {
+  if (this->state == State::kClosed) {
+    return;
+  }
+  this->close_cause =
+      this->state == State::kDraining ? CloseCause::kStopped : cause;
+  this->close_reason = reason;
+  this->state = State::kClosed;
+  this->usable = false;
+  this->deadline = kNever;
+  this->remote_name = NodeAddress{.ip = this->RemoteIp()}.IpToString();
+  std::error_code ignored;
+  this->socket.close(ignored);
+  // The write that runs still has to tell how much the kernel took.
+  if (!this->write_running) {
+    this->FinishClose();
+  }
+}
+
+void Connection::FinishClose() {
+  for (const auto& frame : this->waiting) {
+    this->unsent -= frame.bytes.size();
+  }
+  this->waiting = {};
+  this->owner->OnClosed(*this, this->close_cause, this->close_reason);
+  for (const auto& [attempt, sent] : std::exchange(this->visits, {})) {
+    this->owner->OnVisitLost(attempt, sent);
+  }
+}
+
+void Connection::NoteActivity() {
+  if (this->state != State::kOpen) {
+    return;
+  }
+  this->deadline = this->options.idle_timeout == Duration::zero()
+                       ? kNever
+                       : (Now() + this->options.idle_timeout).count();
+}
+
+void Connection::CheckDeadline(Instant now) {
+  if (now.count() < this->deadline.load()) {
+    return;
+  }
+  asio::post(this->strand, [self = this->shared_from_this(), now] {
+    if (now.count() < self->deadline.load()) {
+      return;
+    }
+    if (self->state == State::kOpen && self->has_peer) {
+      if (!self->visits.empty()) {
+        self->NoteActivity();
+        return;
+      }
+      self->Close(CloseCause::kIdle, "idle");
+      return;
+    }
+    self->Close(CloseCause::kLost, self->state == State::kConnecting
+                                       ? "connect timed out"
+                                       : "no progress in time");
+  });
+}
+
+}  // namespace agaterun::node
--- /dev/null
+++ b/libraries/node/connection.h
@@ -0,0 +1,162 @@
+#ifndef LIBRARIES_NODE_CONNECTION_H_
+#define LIBRARIES_NODE_CONNECTION_H_
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/strand.hpp>
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "libraries/base/node_address.h"
+#include "libraries/base/time.h"
+#include "libraries/decision/request_types.h"
+#include "libraries/node/frame.h"
+#include "libraries/node/frame_reader.h"
+
+namespace agaterun::node {
+
+class Connection;
+
+// Why a connection ended.
+enum class CloseCause {
+  kStopped,     // This node closes its links.
+  kIdle,        // Nothing was sent for long.
+  kPeerClosed,  // The peer ended it between two frames.
+  kLost,        // It broke or could not be made.
+  kRejected,    // The peer sent what is no valid frame.
+  kRefused,     // The peer may not speak with this node.
+};
+
+// Owns connections. Called on the strand of the connection.
+class ConnectionOwner {
+ public:
+  virtual ~ConnectionOwner() = default;
+  virtual Result<void> OnFrame(Connection& connection,
+                               const FrameHeader& header,
+                               std::string_view payload) = 0;
+  // An outgoing connection was made.
+  virtual void OnConnected(Connection& connection) = 0;
+  // Last call for a connection but for OnVisitLost. `reason` is for the log.
+  virtual void OnClosed(Connection& connection,
+                        CloseCause cause,
+                        const std::string& reason) = 0;
+  virtual void OnVisitLost(const decision::AttemptId& attempt, bool sent) = 0;
+  virtual std::uint64_t StateDigest() const = 0;
+  virtual void CountSent(std::size_t bytes) = 0;
+  virtual void CountReceived(std::size_t bytes) = 0;
+};
+
+// One TCP connection to or from another node. Everything but what is marked
+// otherwise runs on its own strand; the owner outlives it.
+class Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  struct Options {
+    std::size_t frame_bytes = 0;   // Largest payload taken.
+    std::size_t unsent_bytes = 0;  // Queued at most.
+    Duration connect_timeout{};    // Also for the greeting, and to drain.
+    Duration idle_timeout{};       // Zero: an idle connection stays open.
+  };
+
+  using Strand = asio::strand<asio::io_context::executor_type>;
+
+  // `socket` runs its handlers on `strand`; closed for an outgoing connection.
+  Connection(Strand strand,
+             asio::ip::tcp::socket socket,
+             Options options,
+             std::shared_ptr<ConnectionOwner> owner);
+
+  // Starts an outgoing connection from `self_ip`. Safe from any thread.
+  void Connect(std::uint32_t self_ip, NodeAddress peer);
+
+  // Starts on a connection that was taken. Safe from any thread.
+  void StartTaken();
+
+  // Queues a frame. Safe from any thread, never blocks.
+  void Send(OutgoingFrame frame);
+
+  // Ends the connection. Safe from any thread.
+  void RequestClose(CloseCause cause, std::string reason);
+
+  // Writes out what is queued, then closes. Safe from any thread.
+  void RequestDrain();
+
+  // Closes the connection when it made no progress in time. Safe from any
+  // thread.
+  void CheckDeadline(Instant now);
+
+  // False once it is closing. Safe from any thread.
+  bool IsUsable() const { return this->usable.load(); }
+
+  bool IsOutgoing() const { return this->outgoing; }
+
+  // Removes a visit whose reply came. False when it is not in flight here.
+  bool FinishVisit(const decision::AttemptId& attempt);
+
+  // The peer's address and incarnation, once they are known.
+  void SetPeer(NodeAddress address, std::uint64_t incarnation);
+  bool HasPeer() const { return this->has_peer; }
+  NodeAddress Peer() const { return this->peer; }
+  std::uint64_t PeerIncarnation() const { return this->peer_incarnation; }
+
+  // IP of the other end, in host byte order; 0 when it is gone.
+  std::uint32_t RemoteIp() const;
+
+  // The other end for the log: its address, or the IP while it has not greeted.
+  std::string RemoteName() const;
+
+  // Last digest that the peer told, to report changes only.
+  std::uint64_t peer_digest = 0;
+
+ private:
+  enum class State { kConnecting, kOpen, kDraining, kClosed };
+
+  void StartConnect(std::uint32_t self_ip);
+  void FinishConnect(const std::error_code& error);
+  void StartRead();
+  void OnReadable(const std::error_code& error);
+  // False when the connection was closed.
+  bool ReadOnce(bool& drained);
+  void Enqueue(OutgoingFrame frame);
+  void RefuseForSpace(const OutgoingFrame& frame);
+  void StartWrite();
+  void OnWritten(const std::error_code& error, std::size_t bytes);
+  void MarkWritten(std::size_t bytes);
+  void Drain();
+  void ShutDownSending();
+  void Close(CloseCause cause, const std::string& reason);
+  void FinishClose();
+  void NoteActivity();
+
+  const Options options;
+  const std::shared_ptr<ConnectionOwner> owner;
+  Strand strand;
+  asio::ip::tcp::socket socket;
+  FrameReader reader;
+  State state = State::kConnecting;
+  bool outgoing = false;
+  bool has_peer = false;
+  bool write_running = false;
+  NodeAddress peer;
+  std::uint64_t peer_incarnation = 0;
+  CloseCause close_cause = CloseCause::kStopped;
+  std::string close_reason;
+  std::string remote_name;
+  std::vector<OutgoingFrame> waiting;
+  std::vector<OutgoingFrame> writing;
+  // Visits without a reply; true once a byte was handed to the kernel.
+  std::unordered_map<decision::AttemptId, bool> visits;
+  std::atomic<std::size_t> unsent{0};
+  std::atomic<bool> usable{true};
+  std::atomic<Instant::rep> deadline;
+};
+
+}  // namespace agaterun::node
+
+#endif  // LIBRARIES_NODE_CONNECTION_H_
--- /dev/null
+++ b/libraries/node/frame.cc
@@ -0,0 +1,111 @@
+#include "libraries/node/frame.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cstring>
+
+#include "libraries/base/verify.h"
+
+namespace agaterun::node {
+
+namespace {
+
+constexpr std::string_view kMagic = "agn";
+constexpr std::size_t kVersionOffset = 3;
+constexpr std::size_t kKindOffset = 4;
+constexpr std::size_t kReservedOffset = 5;
+constexpr std::size_t kReservedBytes = 3;
+constexpr std::size_t kLengthOffset = 8;
+constexpr std::size_t kQueuedOffset = 12;
+constexpr std::size_t kDigestOffset = 16;
+constexpr std::size_t kChecksumOffset = 24;
+
+template <typename Number>
+void Put(std::string& bytes, std::size_t offset, Number number) {
+  for (std::size_t index = 0; index < sizeof(Number); ++index) {
+    bytes[offset + index] = static_cast<char>(number >> (8 * index));
+  }
+}
+
+template <typename Number>
+Number Get(std::string_view bytes, std::size_t offset) {
+  Number number = 0;
+  for (std::size_t index = 0; index < sizeof(Number); ++index) {
+    const auto byte = static_cast<std::uint8_t>(bytes[offset + index]);
+    number |= static_cast<Number>(Number{byte} << (8 * index));
+  }
+  return number;
+}
+
+// Covers the header too, so that a flipped digest or length is found.
+std::uint64_t ChecksumOf(std::string_view frame) {
+  const auto payload = frame.substr(FrameHeader::kBytes);
+  const auto seed = XXH3_64bits(frame.data(), kChecksumOffset);
+  return XXH3_64bits_withSeed(payload.data(), payload.size(), seed);
+}
+
+tl::unexpected<Error> Malformed(std::string message) {
+  return MakeError(ErrorKind::kMalformedFrame, std::move(message));
+}
+
+}  // namespace
+
+Result<FrameHeader> ParseFrameHeader(std::string_view bytes,
+                                     std::size_t payload_limit) {
+  VERIFY(bytes.size() >= FrameHeader::kBytes);
+  if (!bytes.starts_with(kMagic)) {
+    return Malformed(
+        "no node frame starts here; let only nodes connect to the node port");
+  }
+  if (const auto version = Get<std::uint8_t>(bytes, kVersionOffset);
+      version != kFrameVersion) {
+    return Malformed("frame version " + std::to_string(version) +
+                     " is not version " + std::to_string(kFrameVersion) +
+                     "; run the same release on all hosts");
+  }
+  FrameHeader header;
+  header.kind = static_cast<FrameKind>(Get<std::uint8_t>(bytes, kKindOffset));
+  const auto reserved = bytes.substr(kReservedOffset, kReservedBytes);
+  if (NameOf(kFrameKindNames, header.kind) == "?" ||
+      std::any_of(reserved.begin(), reserved.end(),
+                  [](char byte) { return byte != 0; })) {
+    return Malformed(
+        "the frame's kind is unknown; run the same release on all hosts");
+  }
+  header.payload_bytes = Get<std::uint32_t>(bytes, kLengthOffset);
+  if (header.payload_bytes > payload_limit) {
+    return Malformed("a payload of " + std::to_string(header.payload_bytes) +
+                     " bytes is over the limit of " +
+                     std::to_string(payload_limit) +
+                     "; give all nodes the same limit");
+  }
+  header.queued =
+      decltype(header.queued)(Get<std::uint32_t>(bytes, kQueuedOffset));
+  header.state_digest = Get<std::uint64_t>(bytes, kDigestOffset);
+  header.checksum = Get<std::uint64_t>(bytes, kChecksumOffset);
+  return header;
+}
+
+bool IsFrameIntact(std::string_view frame) {
+  return frame.size() >= FrameHeader::kBytes &&
+         ChecksumOf(frame) == Get<std::uint64_t>(frame, kChecksumOffset);
+}
+
+void OutgoingFrame::Seal(Duration queued, std::uint64_t state_digest) {
+  VERIFY(this->bytes.size() >= FrameHeader::kBytes);
+  const auto payload_bytes = this->bytes.size() - FrameHeader::kBytes;
+  const auto waited =
+      std::chrono::duration_cast<std::chrono::microseconds>(queued).count();
+  std::memcpy(this->bytes.data(), kMagic.data(), kMagic.size());
+  Put(this->bytes, kVersionOffset, kFrameVersion);
+  Put(this->bytes, kKindOffset, static_cast<std::uint8_t>(this->kind));
+  Put(this->bytes, kLengthOffset, static_cast<std::uint32_t>(payload_bytes));
+  Put(this->bytes, kQueuedOffset,
+      static_cast<std::uint32_t>(
+          std::clamp<decltype(waited)>(waited, 0, UINT32_MAX)));
+  Put(this->bytes, kDigestOffset, state_digest);
+  Put(this->bytes, kChecksumOffset, ChecksumOf(this->bytes));
+}
+
+}  // namespace agaterun::node
--- /dev/null
+++ b/libraries/node/frame.h
@@ -0,0 +1,77 @@
+#ifndef LIBRARIES_NODE_FRAME_H_
+#define LIBRARIES_NODE_FRAME_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "libraries/base/enum_names.h"
+#include "libraries/base/error.h"
+#include "libraries/base/time.h"
+#include "libraries/decision/request_types.h"
+
+namespace agaterun::node {
+
+enum class FrameKind : std::uint8_t {
+  kGreeting = 1,  // First on each connection: who opened it.
+  kVisit = 2,
+  kCancel = 3,
+  kReply = 4,
+  kHeartbeat = 5,  // In datagrams only.
+  kTicketItems = 6,
+  kTicketItemsWanted = 7,
+};
+
+inline constexpr std::array kFrameKindNames = {
+    EnumName<FrameKind>{FrameKind::kGreeting, "greeting"},
+    EnumName<FrameKind>{FrameKind::kVisit, "visit"},
+    EnumName<FrameKind>{FrameKind::kCancel, "cancel"},
+    EnumName<FrameKind>{FrameKind::kReply, "reply"},
+    EnumName<FrameKind>{FrameKind::kHeartbeat, "heartbeat"},
+    EnumName<FrameKind>{FrameKind::kTicketItems, "ticket-items"},
+    EnumName<FrameKind>{FrameKind::kTicketItemsWanted, "ticket-items-wanted"},
+};
+
+inline constexpr std::uint8_t kFrameVersion = 1;
+
+// What stands before each payload, little endian:
+//   0 "agn"  3 version  4 kind  5 zeros (3)  8 payload bytes (4)
+//   12 microseconds in the sender's queue (4)  16 sender's state digest (8)
+//   24 XXH3 of the payload, seeded with XXH3 of the 24 bytes before it (8)
+struct FrameHeader {
+  static constexpr std::size_t kBytes = 32;
+
+  FrameKind kind = FrameKind::kGreeting;
+  std::uint32_t payload_bytes = 0;
+  std::chrono::duration<std::uint32_t, std::micro> queued{};
+  std::uint64_t state_digest = 0;
+  std::uint64_t checksum = 0;
+};
+
+// Reads the header from the first FrameHeader::kBytes of `bytes`. Fails with
+// ErrorKind::kMalformedFrame when no frame of this version starts there, or
+// when its payload is larger than `payload_limit`.
+Result<FrameHeader> ParseFrameHeader(std::string_view bytes,
+                                     std::size_t payload_limit);
+
+// True when the checksum in the header at the front of `frame` is right.
+bool IsFrameIntact(std::string_view frame);
+
+// A frame that waits to be written. The header is filled in by Seal, since the
+// time in the queue and the digest are known only then.
+struct OutgoingFrame {
+  FrameKind kind = FrameKind::kGreeting;
+  std::string bytes;  // Room for the header, then the payload.
+  Instant queued_at{};
+  std::optional<decision::AttemptId> attempt;  // Of a visit.
+
+  // Writes the header. Call once per frame.
+  void Seal(Duration queued, std::uint64_t state_digest);
+};
+
+}  // namespace agaterun::node
+
+#endif  // LIBRARIES_NODE_FRAME_H_
--- /dev/null
+++ b/libraries/node/frame_archive.h
@@ -0,0 +1,169 @@
+#ifndef LIBRARIES_NODE_FRAME_ARCHIVE_H_
+#define LIBRARIES_NODE_FRAME_ARCHIVE_H_
+
+#include <cereal/cereal.hpp>
+#include <cereal/types/chrono.hpp>
+#include <cereal/types/optional.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/utility.hpp>
+#include <cereal/types/vector.hpp>
+#include <concepts>
+#include <cstdint>
+#include <cstring>
+#include <string>
+#include <string_view>
+#include <type_traits>
+#include <vector>
+
+namespace agaterun::node {
+
+// Appends values to a string: numbers little endian, sizes as 32 bits.
+class FrameOutputArchive
+    : public cereal::OutputArchive<FrameOutputArchive,
+                                   cereal::AllowEmptyClassElision> {
+ public:
+  explicit FrameOutputArchive(std::string& bytes)
+      : OutputArchive(this), bytes(bytes) {}
+
+  void Write(const void* data, std::size_t size) {
+    this->bytes.append(static_cast<const char*>(data), size);
+  }
+
+  template <std::integral Number>
+  void WriteNumber(Number number) {
+    const auto raw = static_cast<std::make_unsigned_t<Number>>(number);
+    char encoded[sizeof(Number)];
+    for (std::size_t index = 0; index < sizeof(Number); ++index) {
+      encoded[index] = static_cast<char>(raw >> (8 * index));
+    }
+    this->Write(encoded, sizeof(encoded));
+  }
+
+ private:
+  std::string& bytes;
+};
+
+// Reads what FrameOutputArchive wrote. Throws cereal::Exception when a value
+// goes past the end or a size is larger than the bytes left, so that a length
+// in a frame never reserves memory that the frame does not fill.
+class FrameInputArchive
+    : public cereal::InputArchive<FrameInputArchive,
+                                  cereal::AllowEmptyClassElision> {
+ public:
+  explicit FrameInputArchive(std::string_view bytes)
+      : InputArchive(this), rest(bytes) {}
+
+  void Read(void* data, std::size_t size) {
+    if (size > this->rest.size()) {
+      throw cereal::Exception("a value goes past the end of the frame");
+    }
+    std::memcpy(data, this->rest.data(), size);
+    this->rest.remove_prefix(size);
+  }
+
+  template <std::integral Number>
+  void ReadNumber(Number& number) {
+    unsigned char encoded[sizeof(Number)];
+    this->Read(encoded, sizeof(encoded));
+    std::make_unsigned_t<Number> raw = 0;
+    for (std::size_t index = 0; index < sizeof(Number); ++index) {
+      raw |= static_cast<std::make_unsigned_t<Number>>(
+          std::make_unsigned_t<Number>{encoded[index]} << (8 * index));
+    }
+    number = static_cast<Number>(raw);
+  }
+
+  std::size_t BytesLeft() const { return this->rest.size(); }
+
+ private:
+  std::string_view rest;
+};
+
+// The functions below are what cereal looks up for an archive's basic types.
+
+template <std::integral Number>
+void CEREAL_SAVE_FUNCTION_NAME(FrameOutputArchive& archive,
+                               const Number& number) {
+  if constexpr (std::is_same_v<Number, bool>) {
+    archive.WriteNumber(static_cast<std::uint8_t>(number));
+  } else {
+    archive.WriteNumber(number);
+  }
+}
+
+template <std::integral Number>
+void CEREAL_LOAD_FUNCTION_NAME(FrameInputArchive& archive, Number& number) {
+  if constexpr (std::is_same_v<Number, bool>) {
+    std::uint8_t byte = 0;
+    archive.ReadNumber(byte);
+    if (byte > 1) {
+      throw cereal::Exception("a truth value is neither 0 nor 1");
+    }
+    number = byte == 1;
+  } else {
+    archive.ReadNumber(number);
+  }
+}
+
+// Names are for formats that show them.
+template <class T>
+void CEREAL_SAVE_FUNCTION_NAME(FrameOutputArchive& archive,
+                               const cereal::NameValuePair<T>& pair) {
+  archive(pair.value);
+}
+
+template <class T>
+void CEREAL_LOAD_FUNCTION_NAME(FrameInputArchive& archive,
+                               cereal::NameValuePair<T>& pair) {
+  archive(pair.value);
+}
+
+template <class T>
+void CEREAL_SAVE_FUNCTION_NAME(FrameOutputArchive& archive,
+                               const cereal::SizeTag<T>& tag) {
+  archive.WriteNumber(static_cast<std::uint32_t>(tag.size));
+}
+
+template <class T>
+void CEREAL_LOAD_FUNCTION_NAME(FrameInputArchive& archive,
+                               cereal::SizeTag<T>& tag) {
+  std::uint32_t size = 0;
+  archive.ReadNumber(size);
+  if (size > archive.BytesLeft()) {
+    throw cereal::Exception("a size is larger than the frame");
+  }
+  tag.size = size;
+}
+
+template <class T>
+void CEREAL_SAVE_FUNCTION_NAME(FrameOutputArchive& archive,
+                               const cereal::BinaryData<T>& data) {
+  archive.Write(data.data, static_cast<std::size_t>(data.size));
+}
+
+template <class T>
+void CEREAL_LOAD_FUNCTION_NAME(FrameInputArchive& archive,
+                               cereal::BinaryData<T>& data) {
+  archive.Read(data.data, static_cast<std::size_t>(data.size));
+}
+
+// cereal's own loader resizes first. An element takes more memory than bytes
+// in the frame, so a vector here grows only with what was read.
+template <class T>
+requires(!std::is_arithmetic_v<T>) void CEREAL_LOAD_FUNCTION_NAME(
+    FrameInputArchive& archive,
+    std::vector<T>& elements) {
+  cereal::size_type size = 0;
+  archive(cereal::make_size_tag(size));
+  elements.clear();
+  for (cereal::size_type index = 0; index < size; ++index) {
+    archive(elements.emplace_back());
+  }
+}
+
+}  // namespace agaterun::node
+
+CEREAL_SETUP_ARCHIVE_TRAITS(agaterun::node::FrameInputArchive,
+                            agaterun::node::FrameOutputArchive)
+
+#endif  // LIBRARIES_NODE_FRAME_ARCHIVE_H_
--- /dev/null
+++ b/libraries/node/frame_messages.cc
@@ -0,0 +1,182 @@
+#include "libraries/node/frame_messages.h"
+
+#include <algorithm>
+#include <exception>
+
+#include "libraries/node/frame_archive.h"
+
+namespace agaterun::node {
+
+namespace {
+
+// No duration between nodes is longer. Keeps sums with an instant in range.
+constexpr Duration kLongestDuration = 24h;
+constexpr int kLargestAllowance = 1'000'000;
+constexpr int kLowestStatus = 100;
+constexpr int kHighestStatus = 999;
+
+bool IsDuration(Duration duration) {
+  return duration >= Duration::zero() && duration <= kLongestDuration;
+}
+
+bool IsImportance(decision::Importance importance) {
+  return NameOf(decision::kImportanceNames, importance) != "?";
+}
+
+bool IsValid(const decision::AdmissionThreshold& threshold) {
+  return IsImportance(threshold.cutoff) &&
+         threshold.keys <= decision::kAdmissionKeys;
+}
+
+bool IsAllowance(int allowance) {
+  return allowance >= 0 && allowance <= kLargestAllowance;
+}
+
+// The checks are what the types alone do not promise: the decisions index
+// tables with these values and add them to instants.
+bool IsValid(const VisitMessage& message) {
+  const auto& visit = message.visit;
+  return visit.kind <= decision::VisitKind::kMoveBinding &&
+         IsDuration(visit.remaining) && IsImportance(visit.importance) &&
+         visit.admission_key < decision::kAdmissionKeys &&
+         IsAllowance(visit.allowance);
+}
+
+bool IsValid(const ReplyMessage& message) {
+  const auto& reply = message.reply;
+  const bool thresholds_valid = std::all_of(
+      reply.thresholds.begin(), reply.thresholds.end(),
+      [](const auto& threshold) { return IsValid(threshold.second); });
+  const bool answer_valid =
+      message.answer == nullptr || (message.answer->status >= kLowestStatus &&
+                                    message.answer->status <= kHighestStatus);
+  return NameOf(decision::kOutcomeNames, reply.outcome) != "?" &&
+         NameOf(decision::kReasonNames, reply.reason) != "?" &&
+         IsDuration(reply.retry_after) &&
+         IsAllowance(reply.unspent_allowance) && thresholds_valid &&
+         answer_valid;
+}
+
+bool IsValid(const decision::Heartbeat& heartbeat) {
+  return std::all_of(
+      heartbeat.convicted.begin(), heartbeat.convicted.end(),
+      [](const auto& convicted) { return IsDuration(convicted.second); });
+}
+
+template <class Message>
+bool IsValid(const Message&) {
+  return true;
+}
+
+template <class Message>
+Result<Message> Decode(std::string_view payload) {
+  Message message;
+  try {
+    FrameInputArchive archive(payload);
+    archive(message);
+    if (archive.BytesLeft() > 0) {
+      return MakeError(ErrorKind::kMalformedFrame,
+                       "bytes are left after the message; run the same "
+                       "release on all hosts");
+    }
+  } catch (const std::exception& exception) {
+    return MakeError(
+        ErrorKind::kMalformedFrame,
+        std::string(exception.what()) + "; run the same release on all hosts");
+  }
+  if (!IsValid(message)) {
+    return MakeError(ErrorKind::kMalformedFrame,
+                     "a value of the message is out of range; run the same "
+                     "release on all hosts");
+  }
+  return message;
+}
+
+template <class... Values>
+OutgoingFrame Encode(FrameKind kind,
+                     std::size_t size_hint,
+                     const Values&... values) {
+  OutgoingFrame frame;
+  frame.kind = kind;
+  frame.bytes.reserve(FrameHeader::kBytes + size_hint);
+  frame.bytes.resize(FrameHeader::kBytes);
+  FrameOutputArchive archive(frame.bytes);
+  archive(values...);
+  return frame;
+}
+
+// Bytes that a message takes besides its bodies, for the usual one.
+constexpr std::size_t kUsualMessageBytes = 512;
+
+}  // namespace
+
+OutgoingFrame EncodeGreeting(const Greeting& greeting) {
+  return Encode(FrameKind::kGreeting, sizeof(Greeting), greeting);
+}
+
+OutgoingFrame EncodeVisit(const decision::VisitRequest& visit,
+                          const HttpRequest& request) {
+  auto frame = Encode(FrameKind::kVisit,
+                      kUsualMessageBytes + request.body.size(), visit, request);
+  frame.attempt = visit.attempt;
+  return frame;
+}
+
+OutgoingFrame EncodeCancel(const decision::AttemptId& attempt) {
+  return Encode(FrameKind::kCancel, sizeof(attempt), attempt);
+}
+
+OutgoingFrame EncodeReply(const decision::VisitReply& reply,
+                          const decision::Answer& answer) {
+  if (answer == nullptr) {
+    return Encode(FrameKind::kReply, kUsualMessageBytes, reply, false);
+  }
+  return Encode(FrameKind::kReply, kUsualMessageBytes + answer->body.size(),
+                reply, true, *answer);
+}
+
+OutgoingFrame EncodeHeartbeat(const decision::Heartbeat& heartbeat) {
+  return Encode(FrameKind::kHeartbeat, kUsualMessageBytes, heartbeat);
+}
+
+OutgoingFrame EncodeTicketItems(
+    const std::vector<decision::TicketItemText>& items) {
+  return Encode(FrameKind::kTicketItems, kUsualMessageBytes, items);
+}
+
+OutgoingFrame EncodeTicketItemsWanted(
+    const std::vector<decision::TicketItemVersion>& have) {
+  return Encode(FrameKind::kTicketItemsWanted, kUsualMessageBytes, have);
+}
+
+Result<Greeting> DecodeGreeting(std::string_view payload) {
+  return Decode<Greeting>(payload);
+}
+
+Result<VisitMessage> DecodeVisit(std::string_view payload) {
+  return Decode<VisitMessage>(payload);
+}
+
+Result<decision::AttemptId> DecodeCancel(std::string_view payload) {
+  return Decode<decision::AttemptId>(payload);
+}
+
+Result<ReplyMessage> DecodeReply(std::string_view payload) {
+  return Decode<ReplyMessage>(payload);
+}
+
+Result<decision::Heartbeat> DecodeHeartbeat(std::string_view payload) {
+  return Decode<decision::Heartbeat>(payload);
+}
+
+Result<std::vector<decision::TicketItemText>> DecodeTicketItems(
+    std::string_view payload) {
+  return Decode<std::vector<decision::TicketItemText>>(payload);
+}
+
+Result<std::vector<decision::TicketItemVersion>> DecodeTicketItemsWanted(
+    std::string_view payload) {
+  return Decode<std::vector<decision::TicketItemVersion>>(payload);
+}
+
+}  // namespace agaterun::node
--- /dev/null
+++ b/libraries/node/frame_messages.h
@@ -0,0 +1,82 @@
+#ifndef LIBRARIES_NODE_FRAME_MESSAGES_H_
+#define LIBRARIES_NODE_FRAME_MESSAGES_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "libraries/base/error.h"
+#include "libraries/base/http_message.h"
+#include "libraries/base/node_address.h"
+#include "libraries/decision/events.h"
+#include "libraries/node/frame.h"
+
+// The payloads of the frame kinds.
+namespace agaterun::node {
+
+// Who opened the connection. `incarnation` tells apart the lives of a process.
+struct Greeting {
+  NodeAddress from;
+  std::uint64_t incarnation = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->from, this->incarnation);
+  }
+};
+
+struct VisitMessage {
+  decision::VisitRequest visit;
+  HttpRequest request;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->visit, this->request);
+  }
+};
+
+struct ReplyMessage {
+  decision::VisitReply reply;
+  std::shared_ptr<HttpResponse> answer;
+
+  template <class Archive>
+  void load(Archive& archive) {
+    bool has_answer = false;
+    archive(this->reply, has_answer);
+    if (has_answer) {
+      this->answer = std::make_shared<HttpResponse>();
+      archive(*this->answer);
+    }
+  }
+};
+
+// Each starts a frame with its payload; Seal completes it.
+OutgoingFrame EncodeGreeting(const Greeting& greeting);
+OutgoingFrame EncodeVisit(const decision::VisitRequest& visit,
+                          const HttpRequest& request);
+OutgoingFrame EncodeCancel(const decision::AttemptId& attempt);
+OutgoingFrame EncodeReply(const decision::VisitReply& reply,
+                          const decision::Answer& answer);
+OutgoingFrame EncodeHeartbeat(const decision::Heartbeat& heartbeat);
+OutgoingFrame EncodeTicketItems(
+    const std::vector<decision::TicketItemText>& items);
+OutgoingFrame EncodeTicketItemsWanted(
+    const std::vector<decision::TicketItemVersion>& have);
+
+// Each takes a whole payload. Fails with ErrorKind::kMalformedFrame when it is
+// cut, has trailing bytes, or holds a value that its type does not allow.
+Result<Greeting> DecodeGreeting(std::string_view payload);
+Result<VisitMessage> DecodeVisit(std::string_view payload);
+Result<decision::AttemptId> DecodeCancel(std::string_view payload);
+Result<ReplyMessage> DecodeReply(std::string_view payload);
+Result<decision::Heartbeat> DecodeHeartbeat(std::string_view payload);
+Result<std::vector<decision::TicketItemText>> DecodeTicketItems(
+    std::string_view payload);
+Result<std::vector<decision::TicketItemVersion>> DecodeTicketItemsWanted(
+    std::string_view payload);
+
+}  // namespace agaterun::node
+
+#endif  // LIBRARIES_NODE_FRAME_MESSAGES_H_
--- /dev/null
+++ b/libraries/node/heartbeat_socket.cc
@@ -0,0 +1,148 @@
+#include "libraries/node/heartbeat_socket.h"
+
+#include <algorithm>
+#include <asio/buffer.hpp>
+#include <asio/post.hpp>
+#include <utility>
+
+#include "libraries/node/frame_messages.h"
+
+namespace agaterun::node {
+
+namespace {
+
+using asio::ip::udp;
+
+// Of one convicted fingerprint in a frame.
+constexpr std::size_t kConvictedBytes = 16;
+// Of a heartbeat without any.
+constexpr std::size_t kFixedBytes = 64 + FrameHeader::kBytes;
+constexpr std::size_t kMostConvicted =
+    (HeartbeatSocket::kDatagramBytes - kFixedBytes) / kConvictedBytes;
+
+NodeAddress ToNodeAddress(const udp::endpoint& endpoint) {
+  return {.ip = endpoint.address().to_v4().to_uint(), .port = endpoint.port()};
+}
+
+udp::endpoint ToEndpoint(NodeAddress address) {
+  return {asio::ip::address_v4(address.ip), address.port};
+}
+
+}  // namespace
+
+HeartbeatSocket::HeartbeatSocket(asio::io_context& io)
+    : strand(asio::make_strand(io)), socket(this->strand) {}
+
+Result<void> HeartbeatSocket::Open(NodeAddress self) {
+  std::error_code error;
+  this->socket.open(udp::v4(), error);
+  if (!error) {
+    this->socket.bind(ToEndpoint(self), error);
+  }
+  if (!error) {
+    this->socket.non_blocking(true, error);
+  }
+  if (error) {
+    return MakeError(ErrorKind::kConnectionFailed,
+                     "can't receive heartbeats on " + self.ToString() + ": " +
+                         error.message() +
+                         "; free the UDP port or change the node's address");
+  }
+  return {};
+}
+
+void HeartbeatSocket::Start(std::weak_ptr<HeartbeatSocketOwner> owner) {
+  asio::post(this->strand, [self = this->shared_from_this(),
+                            owner = std::move(owner)]() mutable {
+    self->owner = std::move(owner);
+    self->Receive();
+  });
+}
+
+void HeartbeatSocket::Receive() {
+  this->socket.async_receive_from(
+      asio::buffer(this->buffer), this->sender,
+      [self = this->shared_from_this()](const std::error_code& error,
+                                        std::size_t bytes) {
+        if (error == asio::error::operation_aborted ||
+            !self->socket.is_open()) {
+          return;
+        }
+        if (!error) {
+          self->OnReceived(bytes);
+        }
+        self->Receive();
+      });
+}
+
+void HeartbeatSocket::OnReceived(std::size_t bytes) {
+  const auto heard_by = this->owner.lock();
+  if (heard_by == nullptr) {
+    return;
+  }
+  heard_by->CountDatagram(false, bytes);
+  auto heartbeat = this->Read(std::string_view(this->buffer.data(), bytes));
+  if (!heartbeat) {
+    heard_by->OnDatagramRejected(ToNodeAddress(this->sender).ToString(),
+                                 heartbeat.error().message);
+    return;
+  }
+  heard_by->OnHeartbeatReceived(std::move(*heartbeat));
+}
+
+Result<decision::Heartbeat> HeartbeatSocket::Read(
+    std::string_view datagram) const {
+  const auto malformed = [](const char* message) {
+    return MakeError(ErrorKind::kMalformedFrame, message);
+  };
+  if (datagram.size() < FrameHeader::kBytes) {
+    return malformed(
+        "the datagram is too short; let only nodes send to the node port");
+  }
+  const auto header = ParseFrameHeader(datagram, kDatagramBytes);
+  if (!header) {
+    return tl::unexpected(header.error());
+  }
+  if (header->payload_bytes != datagram.size() - FrameHeader::kBytes ||
+      !IsFrameIntact(datagram)) {
+    return malformed(
+        "the datagram is damaged; look for a fault on the network between the "
+        "two hosts");
+  }
+  if (header->kind != FrameKind::kHeartbeat) {
+    return malformed(
+        "the datagram is no heartbeat; run the same release on all hosts");
+  }
+  auto heartbeat = DecodeHeartbeat(datagram.substr(FrameHeader::kBytes));
+  if (heartbeat && heartbeat->from != ToNodeAddress(this->sender)) {
+    return malformed(
+        "the heartbeat names another sender than it came from; give each node "
+        "its own address");
+  }
+  return heartbeat;
+}
+
+void HeartbeatSocket::Send(NodeAddress to, decision::Heartbeat heartbeat) {
+  heartbeat.convicted.resize(
+      std::min(heartbeat.convicted.size(), kMostConvicted));
+  auto frame = EncodeHeartbeat(heartbeat);
+  frame.Seal(Duration::zero(), heartbeat.state_digest);
+  asio::post(this->strand, [self = this->shared_from_this(), to,
+                            bytes = std::move(frame.bytes)] {
+    // A full buffer drops the datagram, as the network may.
+    std::error_code error;
+    self->socket.send_to(asio::buffer(bytes), ToEndpoint(to), 0, error);
+    if (const auto owner = self->owner.lock(); owner != nullptr && !error) {
+      owner->CountDatagram(true, bytes.size());
+    }
+  });
+}
+
+void HeartbeatSocket::RequestClose() {
+  asio::post(this->strand, [self = this->shared_from_this()] {
+    std::error_code ignored;
+    self->socket.close(ignored);
+  });
+}
+
+}  // namespace agaterun::node
--- /dev/null
+++ b/libraries/node/link_log.cc
@@ -0,0 +1,49 @@
+#include "libraries/node/link_log.h"
+
+#include "libraries/base/clock.h"
+#include "libraries/base/log.h"
+
+namespace agaterun::node {
+
+namespace {
+
+// Past this many lost peers the memory of what was told is dropped.
+constexpr std::size_t kRememberedPeers = 4096;
+
+}  // namespace
+
+void LinkLog::Connected(NodeAddress peer, bool outgoing) {
+  {
+    const std::lock_guard lock(this->mutex);
+    this->lost.erase(peer);
+  }
+  Log(LogEvent::kPeerConnected,
+      {{"peer", peer.ToString()}, {"opened_by", outgoing ? "self" : "peer"}});
+}
+
+void LinkLog::Lost(NodeAddress peer, const std::string& reason) {
+  {
+    const std::lock_guard lock(this->mutex);
+    if (this->lost.size() >= kRememberedPeers) {
+      this->lost.clear();
+    }
+    if (!this->lost.insert(peer).second) {
+      return;
+    }
+  }
+  Log(LogEvent::kPeerLost, {{"peer", peer.ToString()}, {"reason", reason}});
+}
+
+void LinkLog::Rejected(LogEvent event,
+                       const std::string& sender,
+                       const std::string& reason) {
+  const auto dropped = this->limiter.Admit(MonotonicClock().Now());
+  if (!dropped) {
+    return;
+  }
+  Log(event, {{"peer", sender},
+              {"reason", reason},
+              {"lines_dropped", std::to_string(*dropped)}});
+}
+
+}  // namespace agaterun::node
--- /dev/null
+++ b/libraries/node/link_log.h
@@ -0,0 +1,36 @@
+#ifndef LIBRARIES_NODE_LINK_LOG_H_
+#define LIBRARIES_NODE_LINK_LOG_H_
+
+#include <mutex>
+#include <string>
+#include <unordered_set>
+
+#include "libraries/base/log_event.h"
+#include "libraries/base/node_address.h"
+#include "libraries/node/log_limiter.h"
+
+namespace agaterun::node {
+
+// Writes the log events of links, bounded in what others can make it write.
+// Safe from any thread.
+class LinkLog {
+ public:
+  void Connected(NodeAddress peer, bool outgoing);
+
+  // Once until the peer is connected again, since each visit may try anew.
+  void Lost(NodeAddress peer, const std::string& reason);
+
+  // `event` is kFrameRejected or kPeerRefused.
+  void Rejected(LogEvent event,
+                const std::string& sender,
+                const std::string& reason);
+
+ private:
+  std::mutex mutex;
+  std::unordered_set<NodeAddress> lost;
+  LogLimiter limiter{{}};
+};
+
+}  // namespace agaterun::node
+
+#endif  // LIBRARIES_NODE_LINK_LOG_H_
--- a/libraries/node/node_links.h
+++ b/libraries/node/node_links.h
@@ -3,6 +3,7 @@
 
 #include <asio/io_context.hpp>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <vector>
@@ -36,6 +37,18 @@
       std::vector<decision::TicketItemVersion> have) = 0;
 };
 
+// What the links did since their start.
+struct NodeLinksCounters {
+  std::uint64_t bytes_sent = 0;  // Frames and datagrams, without IP headers.
+  std::uint64_t bytes_received = 0;
+  std::uint64_t heartbeats_sent = 0;
+  std::uint64_t heartbeats_received = 0;
+  std::uint64_t frames_rejected = 0;  // Connections closed and datagrams.
+  std::uint64_t peers_refused = 0;    // Hosts that may not speak here.
+  std::uint64_t replies_dropped = 0;  // Late, or of no visit in flight.
+  std::uint64_t visits_lost = 0;
+};
+
 // The frames between this node and all others: calls and ticket items over
 // TCP, heartbeats over UDP, both on the node's own address.
 class NodeLinks {
@@ -57,8 +70,10 @@
 
   ~NodeLinks();
 
-  // All are safe from any thread and never block. A visit ends in exactly one
-  // OnReply or OnAttemptLost.
+  // All are safe from any thread, never block and never call the observer
+  // before they return. A visit ends in exactly one OnReply or OnAttemptLost,
+  // a cancelled one too. A reply goes back on the connection that its origin
+  // holds, and is dropped when that one is gone: the origin heard so.
   void SendVisit(NodeAddress to,
                  const decision::VisitRequest& visit,
                  const HttpRequest& request);
@@ -79,11 +94,15 @@
   // takes all, as a starting node knows nobody yet.
   void SetAllowedPeers(std::function<bool(NodeAddress)> allowed);
 
-  // Writes out what is queued, then closes all connections.
+  // Writes out what is queued, then closes all connections. Returns at once;
+  // all are closed when ConnectionCount() is 0. The destructor waits for
+  // nothing but calls of the observer that run.
   void Close();
 
   std::size_t ConnectionCount() const;
 
+  NodeLinksCounters Counters() const;
+
  private:
   class Implementation;
   explicit NodeLinks(std::shared_ptr<Implementation> implementation);
--- /dev/null
+++ b/libraries/node/node_links_frames.cc
@@ -0,0 +1,311 @@
+// What arrives in frames and datagrams, and what goes out in them.
+#include <algorithm>
+#include <asio/post.hpp>
+#include <utility>
+
+#include "libraries/node/frame_messages.h"
+#include "libraries/node/node_links_implementation.h"
+
+namespace agaterun::node {
+
+namespace {
+
+tl::unexpected<Error> Unexpected(FrameKind kind) {
+  return MakeError(
+      ErrorKind::kMalformedFrame,
+      std::string(NameOf(kFrameKindNames, kind)) +
+          " frame out of place; run the same release on all hosts");
+}
+
+// Ticket items share a frame up to this part of the largest payload.
+constexpr std::size_t kItemsShareOfFrame = 2;
+
+}  // namespace
+
+Result<void> NodeLinks::Implementation::OnFrame(Connection& connection,
+                                                const FrameHeader& header,
+                                                std::string_view payload) {
+  if (!connection.HasPeer()) {
+    return this->TakeGreeting(connection, header, payload);
+  }
+  this->NoteDigest(connection, header.state_digest);
+  if (connection.IsOutgoing()) {
+    return header.kind == FrameKind::kReply
+               ? this->TakeReply(connection, payload)
+               : Unexpected(header.kind);
+  }
+  return this->TakeFromOrigin(connection, header, payload);
+}
+
+Result<void> NodeLinks::Implementation::TakeFromOrigin(
+    Connection& connection,
+    const FrameHeader& header,
+    std::string_view payload) {
+  switch (header.kind) {
+    case FrameKind::kVisit:
+      return this->TakeVisit(connection, header, payload);
+    case FrameKind::kCancel:
+      return this->TakeCancel(connection, payload);
+    case FrameKind::kTicketItems:
+      return this->TakeTicketItems(connection, payload);
+    case FrameKind::kTicketItemsWanted:
+      return this->TakeTicketItemsWanted(connection, payload);
+    case FrameKind::kGreeting:
+    case FrameKind::kReply:
+    case FrameKind::kHeartbeat:
+      break;
+  }
+  return Unexpected(header.kind);
+}
+
+Result<void> NodeLinks::Implementation::TakeGreeting(Connection& connection,
+                                                     const FrameHeader& header,
+                                                     std::string_view payload) {
+  if (header.kind != FrameKind::kGreeting) {
+    return Unexpected(header.kind);
+  }
+  const auto greeting = DecodeGreeting(payload);
+  if (!greeting) {
+    return tl::unexpected(greeting.error());
+  }
+  const auto from = greeting->from;
+  if (from.ip != connection.RemoteIp() || from.port == 0) {
+    return MakeError(ErrorKind::kInvalidArgument,
+                     "the peer calls itself " + from.ToString() +
+                         " but comes from another IP; set the node's address "
+                         "to the IP of its host");
+  }
+  if (from != this->options.self && !this->IsAllowed(from)) {
+    return MakeError(ErrorKind::kInvalidArgument,
+                     "no ticket or host list names " + from.ToString() +
+                         "; issue a ticket that does, or stop that process");
+  }
+  connection.SetPeer(from, greeting->incarnation);
+  const auto before =
+      this->incoming.Replace(from, connection.shared_from_this());
+  if (before != nullptr) {
+    // A peer opens the next one only when it has given up the one before.
+    before->RequestClose(CloseCause::kStopped, "replaced");
+  }
+  this->log.Connected(from, false);
+  this->NoteDigest(connection, header.state_digest);
+  return {};
+}
+
+Result<void> NodeLinks::Implementation::TakeVisit(Connection& connection,
+                                                  const FrameHeader& header,
+                                                  std::string_view payload) {
+  auto message = DecodeVisit(payload);
+  if (!message) {
+    return tl::unexpected(message.error());
+  }
+  auto& visit = message->visit;
+  if (visit.attempt.origin != connection.Peer() ||
+      visit.attempt.incarnation != connection.PeerIncarnation()) {
+    return MakeError(ErrorKind::kMalformedFrame,
+                     "a visit names another origin than the peer; give each "
+                     "node its own address");
+  }
+  // Time in the sender's queue is gone from the deadline.
+  visit.remaining =
+      std::max(Duration::zero(), visit.remaining - Duration(header.queued));
+  if (const ObserverGate::Entry entry(this->gate); entry.IsOpen()) {
+    this->observer.OnVisit(connection.Peer(), std::move(visit),
+                           std::move(message->request));
+  }
+  return {};
+}
+
+Result<void> NodeLinks::Implementation::TakeCancel(const Connection& connection,
+                                                   std::string_view payload) {
+  const auto attempt = DecodeCancel(payload);
+  if (!attempt) {
+    return tl::unexpected(attempt.error());
+  }
+  if (attempt->origin != connection.Peer() ||
+      attempt->incarnation != connection.PeerIncarnation()) {
+    return MakeError(ErrorKind::kMalformedFrame,
+                     "a cancellation names another origin than the peer; give "
+                     "each node its own address");
+  }
+  if (const ObserverGate::Entry entry(this->gate); entry.IsOpen()) {
+    this->observer.OnVisitCancelled(*attempt);
+  }
+  return {};
+}
+
+Result<void> NodeLinks::Implementation::TakeReply(Connection& connection,
+                                                  std::string_view payload) {
+  auto message = DecodeReply(payload);
+  if (!message) {
+    return tl::unexpected(message.error());
+  }
+  // Only the connection that carried the visit may answer it. A reply of
+  // another gate, of an earlier connection or told twice finds no visit.
+  if (!connection.FinishVisit(message->reply.attempt)) {
+    ++this->replies_dropped;
+    return {};
+  }
+  if (const ObserverGate::Entry entry(this->gate); entry.IsOpen()) {
+    this->observer.OnReply(std::move(message->reply),
+                           std::move(message->answer));
+  }
+  return {};
+}
+
+Result<void> NodeLinks::Implementation::TakeTicketItems(
+    const Connection& connection,
+    std::string_view payload) {
+  auto items = DecodeTicketItems(payload);
+  if (!items) {
+    return tl::unexpected(items.error());
+  }
+  if (const ObserverGate::Entry entry(this->gate); entry.IsOpen()) {
+    this->observer.OnTicketItems(connection.Peer(), std::move(*items));
+  }
+  return {};
+}
+
+Result<void> NodeLinks::Implementation::TakeTicketItemsWanted(
+    const Connection& connection,
+    std::string_view payload) {
+  auto have = DecodeTicketItemsWanted(payload);
+  if (!have) {
+    return tl::unexpected(have.error());
+  }
+  if (const ObserverGate::Entry entry(this->gate); entry.IsOpen()) {
+    this->observer.OnTicketItemsWanted(connection.Peer(), std::move(*have));
+  }
+  return {};
+}
+
+// Most frames carry the digest of the one before, which is no news.
+void NodeLinks::Implementation::NoteDigest(Connection& connection,
+                                           std::uint64_t digest) {
+  if (digest == 0 || digest == connection.peer_digest) {
+    return;
+  }
+  connection.peer_digest = digest;
+  if (const ObserverGate::Entry entry(this->gate); entry.IsOpen()) {
+    this->observer.OnDigestSeen(connection.Peer(), digest);
+  }
+}
+
+void NodeLinks::Implementation::OnHeartbeatReceived(
+    decision::Heartbeat heartbeat) {
+  if (!this->IsAllowed(heartbeat.from)) {
+    ++this->peers_refused;
+    this->log.Rejected(LogEvent::kPeerRefused, heartbeat.from.ToString(),
+                       "no ticket or host list names it; issue a ticket that "
+                       "does, or stop that process");
+    return;
+  }
+  ++this->heartbeats_received;
+  if (const ObserverGate::Entry entry(this->gate); entry.IsOpen()) {
+    this->observer.OnHeartbeat(std::move(heartbeat));
+  }
+}
+
+void NodeLinks::Implementation::OnDatagramRejected(const std::string& sender,
+                                                   const std::string& reason) {
+  ++this->frames_rejected;
+  this->log.Rejected(LogEvent::kFrameRejected, sender, reason);
+}
+
+void NodeLinks::Implementation::CountDatagram(bool sent, std::size_t bytes) {
+  if (sent) {
+    this->bytes_sent += bytes;
+    ++this->heartbeats_sent;
+  } else {
+    this->bytes_received += bytes;
+  }
+}
+
+bool NodeLinks::Implementation::IsWithinFrame(const OutgoingFrame& frame,
+                                              NodeAddress to) {
+  if (frame.bytes.size() - FrameHeader::kBytes <= this->options.frame_bytes) {
+    return true;
+  }
+  ++this->frames_rejected;
+  this->log.Rejected(LogEvent::kFrameRejected, to.ToString(),
+                     std::string(NameOf(kFrameKindNames, frame.kind)) +
+                         " is over the frame limit and was not sent; lower "
+                         "the limits on bodies or raise the one on frames");
+  return false;
+}
+
+void NodeLinks::Implementation::LoseUnsent(const decision::AttemptId& attempt) {
+  asio::post(this->io, [self = this->shared_from_this(), attempt] {
+    self->OnVisitLost(attempt, false);
+  });
+}
+
+void NodeLinks::Implementation::SendVisit(NodeAddress to,
+                                          const decision::VisitRequest& visit,
+                                          const HttpRequest& request) {
+  auto frame = EncodeVisit(visit, request);
+  const auto connection =
+      this->IsWithinFrame(frame, to) ? this->Outgoing(to) : nullptr;
+  if (connection == nullptr) {
+    this->LoseUnsent(visit.attempt);
+    return;
+  }
+  connection->Send(std::move(frame));
+}
+
+void NodeLinks::Implementation::SendReply(NodeAddress to,
+                                          const decision::VisitReply& reply,
+                                          const decision::Answer& answer) {
+  const auto connection = this->incoming.Find(to);
+  if (connection == nullptr) {
+    ++this->replies_dropped;
+    return;
+  }
+  auto frame = EncodeReply(reply, answer);
+  if (!this->IsWithinFrame(frame, to)) {
+    // The request ran, and its answer can't be told: unknown, not silence.
+    auto without_answer = reply;
+    without_answer.outcome = decision::Outcome::kUnknown;
+    without_answer.reason = decision::Reason::kLimitReached;
+    frame = EncodeReply(without_answer, nullptr);
+  }
+  connection->Send(std::move(frame));
+}
+
+void NodeLinks::Implementation::SendPlain(NodeAddress to, OutgoingFrame frame) {
+  if (!this->IsWithinFrame(frame, to)) {
+    return;
+  }
+  if (const auto connection = this->Outgoing(to); connection != nullptr) {
+    connection->Send(std::move(frame));
+  }
+}
+
+void NodeLinks::Implementation::SendTicketItems(
+    NodeAddress to,
+    const std::vector<decision::TicketItemText>& items) {
+  const auto most = this->options.frame_bytes / kItemsShareOfFrame;
+  std::vector<decision::TicketItemText> batch;
+  std::size_t batch_bytes = 0;
+  for (const auto& item : items) {
+    const auto bytes = item.name.size() + item.text.size();
+    if (!batch.empty() && batch_bytes + bytes > most) {
+      this->SendPlain(to, EncodeTicketItems(batch));
+      batch.clear();
+      batch_bytes = 0;
+    }
+    batch.push_back(item);
+    batch_bytes += bytes;
+  }
+  if (!batch.empty()) {
+    this->SendPlain(to, EncodeTicketItems(batch));
+  }
+}
+
+void NodeLinks::Implementation::SendHeartbeat(
+    NodeAddress to,
+    const decision::Heartbeat& heartbeat) {
+  this->heartbeats->Send(to, heartbeat);
+}
+
+}  // namespace agaterun::node
--- /dev/null
+++ b/libraries/node/node_links_implementation.cc
@@ -0,0 +1,286 @@
+#include "libraries/node/node_links_implementation.h"
+
+#include <asio/bind_executor.hpp>
+#include <asio/post.hpp>
+#include <utility>
+
+#include "libraries/base/clock.h"
+#include "libraries/node/frame_messages.h"
+
+namespace agaterun::node {
+
+namespace {
+
+using asio::ip::tcp;
+
+// How closely connect timeouts and the like are kept.
+constexpr Duration kSweepInterval = 250ms;
+constexpr int kListenBacklog = 1024;
+
+}  // namespace
+
+NodeLinks::Implementation::Implementation(asio::io_context& io,
+                                          Options options,
+                                          NodeObserver& observer)
+    : io(io),
+      options(options),
+      observer(observer),
+      control(asio::make_strand(io)),
+      acceptor(this->control),
+      sweep_timer(this->control),
+      heartbeats(std::make_shared<HeartbeatSocket>(io)) {}
+
+Result<void> NodeLinks::Implementation::Listen() {
+  const tcp::endpoint endpoint(asio::ip::address_v4(this->options.self.ip),
+                               this->options.self.port);
+  std::error_code error;
+  this->acceptor.open(tcp::v4(), error);
+  if (!error) {
+    // A restarted process takes over while old connections still linger.
+    this->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    this->acceptor.bind(endpoint, error);
+  }
+  if (!error) {
+    this->acceptor.listen(kListenBacklog, error);
+  }
+  if (error) {
+    return MakeError(ErrorKind::kConnectionFailed,
+                     "can't listen on " + this->options.self.ToString() + ": " +
+                         error.message() +
+                         "; free the port or change the node's address");
+  }
+  return this->heartbeats->Open(this->options.self);
+}
+
+void NodeLinks::Implementation::Start() {
+  this->heartbeats->Start(this->weak_from_this());
+  asio::post(this->control, [self = this->shared_from_this()] {
+    self->Accept();
+    self->Sweep();
+  });
+}
+
+void NodeLinks::Implementation::Accept() {
+  const Connection::Strand strand = asio::make_strand(this->io);
+  this->acceptor.async_accept(
+      strand,
+      asio::bind_executor(
+          this->control, [self = this->shared_from_this(), strand](
+                             const std::error_code& error, tcp::socket socket) {
+            if (!self->acceptor.is_open()) {
+              return;
+            }
+            if (error) {
+              // Out of descriptors, as a rule. The sweep goes on.
+              self->accept_stalled = true;
+              return;
+            }
+            self->OnAccepted(strand, std::move(socket));
+            self->Accept();
+          }));
+}
+
+void NodeLinks::Implementation::OnAccepted(const Connection::Strand& strand,
+                                           tcp::socket socket) {
+  // An idle connection is its opener's to close, who knows what is in flight.
+  auto connection = std::make_shared<Connection>(
+      strand, std::move(socket),
+      Connection::Options{.frame_bytes = this->options.frame_bytes,
+                          .unsent_bytes = this->options.unsent_bytes,
+                          .connect_timeout = this->options.connect_timeout},
+      this->shared_from_this());
+  if (this->Register(connection, true)) {
+    connection->StartTaken();
+    return;
+  }
+  ++this->peers_refused;
+  this->log.Rejected(LogEvent::kPeerRefused, "any",
+                     "all connections of the settings are taken; raise their "
+                     "number or look for a host that opens too many");
+}
+
+void NodeLinks::Implementation::Sweep() {
+  {
+    const std::lock_guard lock(this->mutex);
+    if (this->closing && this->connections.empty()) {
+      return;
+    }
+  }
+  const auto now = MonotonicClock().Now();
+  for (const auto& connection : this->AllConnections()) {
+    connection->CheckDeadline(now);
+  }
+  if (std::exchange(this->accept_stalled, false)) {
+    this->Accept();
+  }
+  this->sweep_timer.expires_after(kSweepInterval);
+  this->sweep_timer.async_wait(
+      [self = this->shared_from_this()](const std::error_code& error) {
+        if (!error) {
+          self->Sweep();
+        }
+      });
+}
+
+bool NodeLinks::Implementation::Register(
+    const std::shared_ptr<Connection>& connection,
+    bool bounded) {
+  const std::lock_guard lock(this->mutex);
+  if (this->closing || (bounded && this->taken >= this->options.connections)) {
+    return false;
+  }
+  this->taken += bounded ? 1 : 0;
+  this->connections.insert(connection);
+  return true;
+}
+
+std::shared_ptr<Connection> NodeLinks::Implementation::MakeOutgoing(
+    NodeAddress to) {
+  const Connection::Strand strand = asio::make_strand(this->io);
+  auto connection = std::make_shared<Connection>(
+      strand, tcp::socket(strand),
+      Connection::Options{.frame_bytes = this->options.frame_bytes,
+                          .unsent_bytes = this->options.unsent_bytes,
+                          .connect_timeout = this->options.connect_timeout,
+                          .idle_timeout = this->options.idle_timeout},
+      this->shared_from_this());
+  if (!this->Register(connection, false)) {
+    return nullptr;
+  }
+  connection->Connect(this->options.self.ip, to);
+  connection->Send(EncodeGreeting(
+      {.from = this->options.self, .incarnation = this->options.incarnation}));
+  return connection;
+}
+
+std::shared_ptr<Connection> NodeLinks::Implementation::Outgoing(
+    NodeAddress to) {
+  return this->outgoing.FindOrMake(to, [&] { return this->MakeOutgoing(to); });
+}
+
+std::vector<std::shared_ptr<Connection>>
+NodeLinks::Implementation::AllConnections() const {
+  const std::lock_guard lock(this->mutex);
+  return {this->connections.begin(), this->connections.end()};
+}
+
+std::size_t NodeLinks::Implementation::ConnectionCount() const {
+  const std::lock_guard lock(this->mutex);
+  return this->connections.size();
+}
+
+void NodeLinks::Implementation::SetAllowedPeers(
+    std::function<bool(NodeAddress)> allowed) {
+  auto shared = std::make_shared<const std::function<bool(NodeAddress)>>(
+      std::move(allowed));
+  const std::lock_guard lock(this->mutex);
+  this->allowed = std::move(shared);
+}
+
+bool NodeLinks::Implementation::IsAllowed(NodeAddress peer) const {
+  std::shared_ptr<const std::function<bool(NodeAddress)>> asked;
+  {
+    const std::lock_guard lock(this->mutex);
+    asked = this->allowed;
+  }
+  return asked == nullptr || !*asked || (*asked)(peer);
+}
+
+void NodeLinks::Implementation::Close() {
+  {
+    const std::lock_guard lock(this->mutex);
+    this->closing = true;
+  }
+  for (const auto& connection : this->AllConnections()) {
+    connection->RequestDrain();
+  }
+  this->heartbeats->RequestClose();
+  asio::post(this->control, [self = this->shared_from_this()] {
+    std::error_code ignored;
+    self->acceptor.close(ignored);
+  });
+}
+
+void NodeLinks::Implementation::Abandon() {
+  this->gate.Shut();
+  this->Close();
+  for (const auto& connection : this->AllConnections()) {
+    connection->RequestClose(CloseCause::kStopped, "stopped");
+  }
+  // The io_context may never run again. What holds the connections from here
+  // on is their own handlers, which end with it.
+  this->outgoing.Clear();
+  this->incoming.Clear();
+  {
+    const std::lock_guard lock(this->mutex);
+    this->connections.clear();
+    this->allowed = nullptr;
+  }
+  asio::post(this->control,
+             [self = this->shared_from_this()] { self->sweep_timer.cancel(); });
+}
+
+void NodeLinks::Implementation::OnConnected(Connection& connection) {
+  this->log.Connected(connection.Peer(), true);
+}
+
+void NodeLinks::Implementation::OnClosed(Connection& connection,
+                                         CloseCause cause,
+                                         const std::string& reason) {
+  // Out of the tables first: who hears of a lost visit may send the next one.
+  if (connection.HasPeer()) {
+    auto& table = connection.IsOutgoing() ? this->outgoing : this->incoming;
+    table.Remove(connection.Peer(), connection);
+  }
+  {
+    const std::lock_guard lock(this->mutex);
+    if (this->connections.erase(connection.shared_from_this()) > 0 &&
+        !connection.IsOutgoing()) {
+      --this->taken;
+    }
+  }
+  switch (cause) {
+    case CloseCause::kStopped:
+    case CloseCause::kIdle:
+      return;
+    case CloseCause::kPeerClosed:
+    case CloseCause::kLost:
+      if (connection.IsOutgoing()) {
+        this->log.Lost(connection.Peer(), reason);
+      }
+      return;
+    case CloseCause::kRejected:
+      ++this->frames_rejected;
+      this->log.Rejected(LogEvent::kFrameRejected, connection.RemoteName(),
+                         reason);
+      return;
+    case CloseCause::kRefused:
+      ++this->peers_refused;
+      this->log.Rejected(LogEvent::kPeerRefused, connection.RemoteName(),
+                         reason);
+      return;
+  }
+}
+
+void NodeLinks::Implementation::OnVisitLost(const decision::AttemptId& attempt,
+                                            bool sent) {
+  ++this->visits_lost;
+  if (const ObserverGate::Entry entry(this->gate); entry.IsOpen()) {
+    this->observer.OnAttemptLost(attempt, sent);
+  }
+}
+
+NodeLinksCounters NodeLinks::Implementation::Counters() const {
+  return {.bytes_sent = this->bytes_sent,
+          .bytes_received = this->bytes_received,
+          .heartbeats_sent = this->heartbeats_sent,
+          .heartbeats_received = this->heartbeats_received,
+          .frames_rejected = this->frames_rejected,
+          .peers_refused = this->peers_refused,
+          .replies_dropped = this->replies_dropped,
+          .visits_lost = this->visits_lost};
+}
+
+}  // namespace agaterun::node
--- /dev/null
+++ b/libraries/node/node_links_implementation.h
@@ -0,0 +1,142 @@
+#ifndef LIBRARIES_NODE_NODE_LINKS_IMPLEMENTATION_H_
+#define LIBRARIES_NODE_NODE_LINKS_IMPLEMENTATION_H_
+
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/steady_timer.hpp>
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <unordered_set>
+#include <vector>
+
+#include "libraries/node/connection.h"
+#include "libraries/node/connection_table.h"
+#include "libraries/node/heartbeat_socket.h"
+#include "libraries/node/link_log.h"
+#include "libraries/node/node_links.h"
+#include "libraries/node/observer_gate.h"
+
+namespace agaterun::node {
+
+// Shared with the handlers that are still to run, so it can outlive NodeLinks.
+class NodeLinks::Implementation final
+    : public ConnectionOwner,
+      public HeartbeatSocketOwner,
+      public std::enable_shared_from_this<Implementation> {
+ public:
+  Implementation(asio::io_context& io, Options options, NodeObserver& observer);
+
+  Result<void> Listen();
+  void Start();
+
+  void SendVisit(NodeAddress to,
+                 const decision::VisitRequest& visit,
+                 const HttpRequest& request);
+  void SendReply(NodeAddress to,
+                 const decision::VisitReply& reply,
+                 const decision::Answer& answer);
+  void SendTicketItems(NodeAddress to,
+                       const std::vector<decision::TicketItemText>& items);
+  // A frame that nobody waits for.
+  void SendPlain(NodeAddress to, OutgoingFrame frame);
+  void SendHeartbeat(NodeAddress to, const decision::Heartbeat& heartbeat);
+  void SetStateDigest(std::uint64_t digest) { this->state_digest = digest; }
+  void SetAllowedPeers(std::function<bool(NodeAddress)> allowed);
+  void Close();
+  // Ends all without a further call of the observer.
+  void Abandon();
+  std::size_t ConnectionCount() const;
+  NodeLinksCounters Counters() const;
+
+  // ConnectionOwner:
+  Result<void> OnFrame(Connection& connection,
+                       const FrameHeader& header,
+                       std::string_view payload) override;
+  void OnConnected(Connection& connection) override;
+  void OnClosed(Connection& connection,
+                CloseCause cause,
+                const std::string& reason) override;
+  void OnVisitLost(const decision::AttemptId& attempt, bool sent) override;
+  std::uint64_t StateDigest() const override { return this->state_digest; }
+  void CountSent(std::size_t bytes) override { this->bytes_sent += bytes; }
+  void CountReceived(std::size_t bytes) override {
+    this->bytes_received += bytes;
+  }
+
+  // HeartbeatSocketOwner:
+  void OnHeartbeatReceived(decision::Heartbeat heartbeat) override;
+  void OnDatagramRejected(const std::string& sender,
+                          const std::string& reason) override;
+  void CountDatagram(bool sent, std::size_t bytes) override;
+
+ private:
+  void Accept();
+  void OnAccepted(const Connection::Strand& strand,
+                  asio::ip::tcp::socket socket);
+  void Sweep();
+  bool IsAllowed(NodeAddress peer) const;
+  bool IsWithinFrame(const OutgoingFrame& frame, NodeAddress to);
+  void LoseUnsent(const decision::AttemptId& attempt);
+
+  // False when the links are closing or `connection` is one too many.
+  bool Register(const std::shared_ptr<Connection>& connection, bool bounded);
+  std::shared_ptr<Connection> Outgoing(NodeAddress to);
+  std::shared_ptr<Connection> MakeOutgoing(NodeAddress to);
+  std::vector<std::shared_ptr<Connection>> AllConnections() const;
+
+  Result<void> TakeGreeting(Connection& connection,
+                            const FrameHeader& header,
+                            std::string_view payload);
+  Result<void> TakeFromOrigin(Connection& connection,
+                              const FrameHeader& header,
+                              std::string_view payload);
+  Result<void> TakeVisit(Connection& connection,
+                         const FrameHeader& header,
+                         std::string_view payload);
+  Result<void> TakeCancel(const Connection& connection,
+                          std::string_view payload);
+  Result<void> TakeReply(Connection& connection, std::string_view payload);
+  Result<void> TakeTicketItems(const Connection& connection,
+                               std::string_view payload);
+  Result<void> TakeTicketItemsWanted(const Connection& connection,
+                                     std::string_view payload);
+  void NoteDigest(Connection& connection, std::uint64_t digest);
+
+  asio::io_context& io;
+  const Options options;
+  NodeObserver& observer;
+  ObserverGate gate;
+  LinkLog log;
+  Connection::Strand control;  // Of the acceptor and the timer.
+  asio::ip::tcp::acceptor acceptor;
+  asio::steady_timer sweep_timer;
+  std::shared_ptr<HeartbeatSocket> heartbeats;
+  bool accept_stalled = false;
+
+  ConnectionTable outgoing;  // By the peer connected to.
+  ConnectionTable incoming;  // By the peer that greeted.
+
+  mutable std::mutex mutex;  // Of the next four; never on the path of a frame.
+  std::unordered_set<std::shared_ptr<Connection>> connections;
+  std::size_t taken = 0;  // Of `connections`, those that peers opened.
+  bool closing = false;
+  std::shared_ptr<const std::function<bool(NodeAddress)>> allowed;
+
+  std::atomic<std::uint64_t> state_digest{0};
+  std::atomic<std::uint64_t> bytes_sent{0};
+  std::atomic<std::uint64_t> bytes_received{0};
+  std::atomic<std::uint64_t> heartbeats_sent{0};
+  std::atomic<std::uint64_t> heartbeats_received{0};
+  std::atomic<std::uint64_t> frames_rejected{0};
+  std::atomic<std::uint64_t> peers_refused{0};
+  std::atomic<std::uint64_t> replies_dropped{0};
+  std::atomic<std::uint64_t> visits_lost{0};
+};
+
+}  // namespace agaterun::node
+
+#endif  // LIBRARIES_NODE_NODE_LINKS_IMPLEMENTATION_H_
--- a/libraries/node/placeholder.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "libraries/node/node_links.h"
--- /dev/null
+++ b/tests/node/test_nodes.h
@@ -0,0 +1,117 @@
+#ifndef TESTS_NODE_TEST_NODES_H_
+#define TESTS_NODE_TEST_NODES_H_
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "libraries/node/node_links.h"
+
+namespace agaterun::node {
+
+// Longest wait for what has to come. Only a hang reaches it.
+inline constexpr Duration kHangGuard = 20s;
+
+// An address on loopback that nobody listens on, TCP or UDP. Each call gives
+// another IP, so that tests tell hosts apart.
+NodeAddress FreeAddress();
+
+// An io_context with threads of its own.
+class IoThreads {
+ public:
+  explicit IoThreads(int threads = 2);
+  ~IoThreads();
+
+  asio::io_context io;
+
+ private:
+  asio::executor_work_guard<asio::io_context::executor_type> work;
+  std::vector<std::thread> threads;
+};
+
+struct LostAttempt {
+  decision::AttemptId attempt;
+  bool sent = false;
+};
+
+struct ReceivedVisit {
+  NodeAddress from;
+  decision::VisitRequest visit;
+  HttpRequest request;
+};
+
+struct ReceivedReply {
+  decision::VisitReply reply;
+  decision::Answer answer;
+};
+
+// Keeps all that it hears.
+struct Heard {
+  std::vector<ReceivedVisit> visits;
+  std::vector<decision::AttemptId> cancelled;
+  std::vector<ReceivedReply> replies;
+  std::vector<LostAttempt> lost;
+  std::vector<decision::Heartbeat> heartbeats;
+  std::vector<std::pair<NodeAddress, std::uint64_t>> digests;
+  std::vector<decision::TicketItemText> items;
+  std::vector<decision::TicketItemVersion> wanted;
+};
+
+class RecordingObserver : public NodeObserver {
+ public:
+  void OnVisit(NodeAddress from,
+               decision::VisitRequest visit,
+               HttpRequest request) override;
+  void OnVisitCancelled(decision::AttemptId attempt) override;
+  void OnReply(decision::VisitReply reply, decision::Answer answer) override;
+  void OnAttemptLost(decision::AttemptId attempt, bool sent) override;
+  void OnHeartbeat(decision::Heartbeat heartbeat) override;
+  void OnDigestSeen(NodeAddress peer, std::uint64_t digest) override;
+  void OnTicketItems(NodeAddress from,
+                     std::vector<decision::TicketItemText> items) override;
+  void OnTicketItemsWanted(
+      NodeAddress from,
+      std::vector<decision::TicketItemVersion> have) override;
+
+  // True once `condition` holds; false when the hang guard ran out.
+  bool WaitFor(const std::function<bool(const Heard&)>& condition);
+
+  Heard Snapshot();
+
+ private:
+  void Note(const std::function<void(Heard&)>& change);
+
+  std::mutex mutex;
+  std::condition_variable changed;
+  Heard heard;
+};
+
+// A node's links with an observer that records.
+struct TestNode {
+  explicit TestNode(asio::io_context& io, NodeLinks::Options options = {});
+
+  // A visit of this node with the number `call`.
+  decision::VisitRequest Visit(decision::CallId call) const;
+
+  NodeLinks::Options options;
+  RecordingObserver observer;
+  std::unique_ptr<NodeLinks> links;
+};
+
+// The reply that completes `visit`.
+decision::VisitReply ReplyTo(const decision::VisitRequest& visit);
+
+decision::Answer AnswerWith(std::string body);
+
+// Polls `condition` until it holds or the hang guard ran out.
+bool Eventually(const std::function<bool()>& condition);
+
+}  // namespace agaterun::node
+
+#endif  // TESTS_NODE_TEST_NODES_H_
