Callers and backend servers: Speak HTTP/1.1 on Asio with Boost.Beast's parser

Cause: cpp-httplib takes a thread for each kept connection and can't tell a handler that its caller went away, which cancels the work below it.

Change: request and response parsers that refuse ambiguous framing, a caller server on Asio (pipelining in order, limits, slow callers, callers that go away, stop without cutting), headers of calls and outcomes, and a client towards the backend server that gives whole answers or none.

Routes are found by the decoded path, so that an escaped or doubled slash can't make a non-idempotent request pass as idempotent.

--- a/libraries/backend_server/backend_client.h
+++ b/libraries/backend_server/backend_client.h
@@ -13,6 +13,8 @@
 
 namespace agaterun::backend_server {
 
+class BackendPool;
+
 // Hears what the local backend server does. Called from the threads of the
 // io_context.
 class BackendObserver {
@@ -36,10 +38,12 @@
     std::size_t idle_connections = 64;  // Kept for later requests.
     Duration connect_timeout = 1s;
     Duration probe_interval = 200ms;  // While it takes no connections.
+    Duration break_window = 100ms;    // Breaks within it have one cause.
     http::MessageLimits limits;
   };
 
-  // `observer` outlives the client.
+  // Probes the backend server at once; it counts as reachable until then.
+  // `observer` outlives the threads of `io`.
   static std::unique_ptr<BackendClient> Create(asio::io_context& io,
                                                Options options,
                                                BackendObserver& observer);
@@ -58,9 +62,8 @@
   std::size_t ConnectionCount() const;
 
  private:
-  class Implementation;
-  explicit BackendClient(std::shared_ptr<Implementation> implementation);
-  std::shared_ptr<Implementation> implementation;
+  explicit BackendClient(std::shared_ptr<BackendPool> pool);
+  std::shared_ptr<BackendPool> pool;
 };
 
 }  // namespace agaterun::backend_server
--- /dev/null
+++ b/libraries/backend_server/backend_connection.cc
@@ -0,0 +1,188 @@
+#include "libraries/backend_server/backend_connection.h"
+
+#include <array>
+#include <asio/buffer.hpp>
+#include <asio/write.hpp>
+#include <utility>
+
+namespace agaterun::backend_server {
+
+namespace {
+
+constexpr std::size_t kReadSize = 16 * 1024;
+
+bool MustWait(const std::error_code& error) {
+  return error == asio::error::would_block || error == asio::error::try_again;
+}
+
+}  // namespace
+
+BackendConnection::BackendConnection(
+    Strand strand,
+    http::MessageLimits limits,
+    std::weak_ptr<BackendConnectionOwner> owner)
+    : socket(strand), owner(std::move(owner)), parser(limits) {}
+
+void BackendConnection::Connect(const asio::ip::tcp::endpoint& endpoint,
+                                Duration timeout) {
+  this->connect_timer =
+      std::make_unique<asio::steady_timer>(this->socket.get_executor());
+  this->connect_timer->expires_after(timeout);
+  this->connect_timer->async_wait(
+      [self = this->shared_from_this()](const std::error_code& error) {
+        if (!error && self->phase == Phase::kConnecting) {
+          self->OnConnectEnded(asio::error::timed_out);
+        }
+      });
+  this->socket.async_connect(endpoint, [self = this->shared_from_this()](
+                                           const std::error_code& error) {
+    if (self->phase == Phase::kConnecting) {
+      self->OnConnectEnded(error);
+    }
+  });
+}
+
+void BackendConnection::OnConnectEnded(const std::error_code& error) {
+  this->connect_timer.reset();
+  const auto owner = this->owner.lock();
+  if (error) {
+    this->Close();
+    if (owner) {
+      owner->OnConnectFailed(this->shared_from_this());
+    }
+    return;
+  }
+  std::error_code ignored;
+  this->socket.non_blocking(true, ignored);
+  this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  this->phase = Phase::kIdle;
+  this->WaitForInput();
+  if (owner) {
+    owner->OnConnected(this->shared_from_this());
+  }
+}
+
+void BackendConnection::Send(BackendRequest request) {
+  this->request = std::move(request);
+  this->phase = Phase::kBusy;
+  this->writing = true;
+  if (this->request.is_head) {
+    this->parser.ExpectNoBody();
+  }
+  asio::async_write(this->socket, asio::buffer(this->request.bytes),
+                    [self = this->shared_from_this()](
+                        const std::error_code& error, std::size_t count) {
+                      self->OnWritten(error, count);
+                    });
+  this->WaitForInput();
+}
+
+bool BackendConnection::IsUsable() {
+  char byte = 0;
+  std::error_code error;
+  this->socket.receive(asio::buffer(&byte, 1), Socket::message_peek, error);
+  return this->phase == Phase::kIdle && MustWait(error);
+}
+
+void BackendConnection::Close() {
+  this->phase = Phase::kClosed;
+  this->connect_timer.reset();
+  std::error_code ignored;
+  this->socket.close(ignored);
+}
+
+void BackendConnection::WaitForInput() {
+  if (this->waiting_for_input || this->phase == Phase::kClosed) {
+    return;
+  }
+  this->waiting_for_input = true;
+  // Waits without a buffer, and also while idle to learn of a close at once.
+  this->socket.async_wait(Socket::wait_read, [self = this->shared_from_this()](
+                                                 const std::error_code& error) {
+    self->waiting_for_input = false;
+    if (!error && self->phase != Phase::kClosed) {
+      self->OnReadable();
+    }
+  });
+}
+
+void BackendConnection::OnReadable() {
+  std::array<char, kReadSize> buffer;
+  std::error_code error;
+  const std::size_t count = this->socket.read_some(asio::buffer(buffer), error);
+  if (MustWait(error)) {
+    this->WaitForInput();
+  } else if (error) {
+    this->OnEnded(error.message());
+  } else {
+    this->OnBytes(std::string_view(buffer.data(), count));
+    this->WaitForInput();
+  }
+}
+
+void BackendConnection::OnBytes(std::string_view bytes) {
+  if (this->phase != Phase::kBusy) {
+    this->OnEnded("bytes that nothing asked for");
+    return;
+  }
+  const auto used = this->parser.Feed(bytes);
+  if (!used) {
+    this->Break({.answer_cut = true, .detail = used.error().message});
+  } else if (this->parser.IsDone()) {
+    this->OnAnswerWhole(*used < bytes.size());
+  }
+}
+
+void BackendConnection::OnAnswerWhole(bool trailing_bytes) {
+  if (trailing_bytes) {
+    // The length that it told is not the one that it sent, so that what looks
+    // whole may be a part.
+    this->Break({.answer_cut = true, .detail = "more bytes than announced"});
+    return;
+  }
+  bool keep_alive = false;
+  HttpResponse response = this->parser.Take(keep_alive);
+  // An answer before the end of the request leaves the rest of the request
+  // on the way, where it would be read as the next one.
+  const bool reusable = keep_alive && !this->writing;
+  this->phase = Phase::kIdle;
+  this->used = true;
+  if (reusable) {
+    std::string().swap(this->request.bytes);
+  } else {
+    this->Close();
+  }
+  if (const auto owner = this->owner.lock(); owner) {
+    owner->OnAnswered(this->shared_from_this(), std::move(response), reusable);
+  }
+}
+
+void BackendConnection::OnEnded(const std::string& detail) {
+  if (this->phase == Phase::kBusy) {
+    this->Break({.answer_cut = this->parser.HasStarted(), .detail = detail});
+    return;
+  }
+  this->Close();
+  if (const auto owner = this->owner.lock(); owner) {
+    owner->OnIdleClosed(this->shared_from_this());
+  }
+}
+
+void BackendConnection::OnWritten(const std::error_code& error,
+                                  std::size_t count) {
+  this->writing = false;
+  // After an answer or a break nobody asks what was written.
+  if (!error || this->phase != Phase::kBusy) {
+    return;
+  }
+  this->Break({.any_sent = count > 0, .detail = error.message()});
+}
+
+void BackendConnection::Break(BackendBreak reason) {
+  this->Close();
+  if (const auto owner = this->owner.lock(); owner) {
+    owner->OnBroken(this->shared_from_this(), std::move(reason));
+  }
+}
+
+}  // namespace agaterun::backend_server
--- a/libraries/backend_server/placeholder.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "libraries/backend_server/backend_client.h"
--- a/libraries/caller/caller_server.h
+++ b/libraries/caller/caller_server.h
@@ -15,6 +15,8 @@
 
 namespace agaterun::caller {
 
+class CallerListener;
+
 // Hears what callers do. Called from the threads of the io_context.
 class CallerObserver {
  public:
@@ -26,7 +28,8 @@
                          HttpRequest request,
                          bool nested) = 0;
 
-  // The caller closed the connection before its answer.
+  // The caller closed the connection, or its sending side of it, before its
+  // answer. Never after CallerServer::Answer.
   virtual void OnCallerGone(decision::CallId call) = 0;
 };
 
@@ -44,13 +47,15 @@
   };
 
   // Listens at once. `call_ids` is shared by all servers of a process, and
-  // both it and `observer` outlive the server.
+  // both it and `observer` outlive the threads of `io`. Fails with
+  // ErrorKind::kInputOutput.
   static Result<std::unique_ptr<CallerServer>> Create(
       asio::io_context& io,
       Options options,
       std::atomic<decision::CallId>& call_ids,
       CallerObserver& observer);
 
+  // Closes all connections; calls without an answer hear nothing more.
   ~CallerServer();
 
   // Writes the one answer of a call. Ignored when its caller is gone. Safe
@@ -62,10 +67,12 @@
 
   std::size_t ConnectionCount() const;
 
+  // Where it listens; tells the port that was picked for port 0.
+  NodeAddress Address() const;
+
  private:
-  class Implementation;
-  explicit CallerServer(std::shared_ptr<Implementation> implementation);
-  std::shared_ptr<Implementation> implementation;
+  explicit CallerServer(std::shared_ptr<CallerListener> listener);
+  std::shared_ptr<CallerListener> listener;
 };
 
 }  // namespace agaterun::caller
--- a/libraries/caller/placeholder.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "libraries/caller/caller_server.h"
--- /dev/null
+++ b/libraries/caller/request_headers.cc
@@ -0,0 +1,230 @@
+#include "libraries/caller/request_headers.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "libraries/caller/header_reader.h"
+#include "libraries/caller/route_path.h"
+
+namespace agaterun::caller {
+
+namespace {
+
+constexpr std::size_t kShareBytes = 64;
+constexpr std::size_t kIdempotencyKeyBytes = 255;
+constexpr std::size_t kServiceBytes = 64;
+constexpr std::uint64_t kLongestTimeoutMilliseconds = 60 * 60 * 1000;
+
+struct HashStateDeleter {
+  void operator()(XXH64_state_t* state) const { XXH64_freeState(state); }
+};
+
+// Hash of what a backend server would do the same work for.
+std::uint64_t Fingerprint(const HttpRequest& request) {
+  const std::unique_ptr<XXH64_state_t, HashStateDeleter> state(
+      XXH64_createState());
+  XXH64_reset(state.get(), 0);
+  for (const std::string* part :
+       {&request.method, &request.target, &request.body}) {
+    // With their end, so that parts can't be shifted into one another.
+    XXH64_update(state.get(), part->c_str(), part->size() + 1);
+  }
+  return XXH64_digest(state.get());
+}
+
+tl::unexpected<Error> BindingError(std::string_view text) {
+  return MakeError(ErrorKind::kMalformedMessage,
+                   "'" + std::string(text.substr(0, 64)) +
+                       "' is no binding; send back the value of " +
+                       std::string(kNextBindingHeader) + " unchanged");
+}
+
+Result<void> ReadBindingHeader(const HttpHeaders& headers,
+                               decision::CallArrived& event) {
+  const auto text = ReadOnce(headers, kBindingHeader);
+  if (!text) {
+    return tl::unexpected(text.error());
+  }
+  if (!*text) {
+    return {};
+  }
+  const auto binding = ReadBinding(**text);
+  if (!binding) {
+    return tl::unexpected(binding.error());
+  }
+  event.binding = *binding;
+  return {};
+}
+
+Result<void> ReadTimeoutHeader(const HttpHeaders& headers,
+                               decision::CallArrived& event) {
+  const auto text = ReadOnce(headers, kTimeoutHeader);
+  if (!text) {
+    return tl::unexpected(text.error());
+  }
+  if (!*text) {
+    return {};
+  }
+  const auto number = ReadNumber(**text, 10);
+  if (!number || *number == 0 || *number > kLongestTimeoutMilliseconds) {
+    return MakeError(ErrorKind::kMalformedMessage,
+                     std::string(kTimeoutHeader) +
+                         " must be whole milliseconds from 1 to " +
+                         std::to_string(kLongestTimeoutMilliseconds));
+  }
+  event.timeout = std::chrono::milliseconds(*number);
+  return {};
+}
+
+// A header with a short text, left empty when it is missing.
+Result<void> ReadTokenHeader(const HttpHeaders& headers,
+                             std::string_view name,
+                             std::size_t limit,
+                             std::string& target) {
+  const auto text = ReadOnce(headers, name);
+  if (!text) {
+    return tl::unexpected(text.error());
+  }
+  if (!*text) {
+    return {};
+  }
+  auto token = ReadToken(**text, name, limit);
+  if (!token) {
+    return tl::unexpected(token.error());
+  }
+  target = *std::move(token);
+  return {};
+}
+
+Result<void> ReadService(std::string_view name, decision::CallArrived& event) {
+  auto service = ReadToken(name, "the service's name", kServiceBytes);
+  if (!service) {
+    return tl::unexpected(service.error());
+  }
+  event.service = *std::move(service);
+  return {};
+}
+
+Result<void> ReadOutcomeQuery(const HttpRequest& request,
+                              decision::CallArrived& event) {
+  event.kind = decision::VisitKind::kQueryBinding;
+  event.path = "/";
+  if (request.method != "GET") {
+    return MakeError(ErrorKind::kMalformedMessage,
+                     "what became of a binding is asked with GET; use it");
+  }
+  if (!event.binding) {
+    return MakeError(
+        ErrorKind::kMalformedMessage,
+        "the binding is missing; send it in " + std::string(kBindingHeader));
+  }
+  return ReadService(
+      std::string_view(request.target).substr(kOutcomePath.size()), event);
+}
+
+Result<void> ReadTarget(const HttpRequest& request,
+                        decision::CallArrived& event) {
+  if (request.target.starts_with(kOutcomePath)) {
+    return ReadOutcomeQuery(request, event);
+  }
+  const auto target = SplitTarget(request.target);
+  if (!target) {
+    return tl::unexpected(target.error());
+  }
+  auto path = ReadRoutePath(target->rest);
+  if (!path) {
+    return tl::unexpected(path.error());
+  }
+  event.path = *std::move(path);
+  return ReadService(target->service, event);
+}
+
+}  // namespace
+
+std::string WriteBinding(const decision::Binding& binding) {
+  return binding.gate.ToString() + "/" + WriteHexadecimal(binding.incarnation) +
+         "/" + WriteHexadecimal(binding.sequence);
+}
+
+Result<decision::Binding> ReadBinding(std::string_view text) {
+  const std::size_t first = text.find('/');
+  const std::size_t second = text.find('/', std::min(first, text.size()) + 1);
+  if (first == text.npos || second == text.npos) {
+    return BindingError(text);
+  }
+  const auto gate = NodeAddress::Parse(text.substr(0, first));
+  const auto incarnation =
+      ReadNumber(text.substr(first + 1, second - first - 1), 16);
+  const auto sequence = ReadNumber(text.substr(second + 1), 16);
+  if (!gate || !incarnation || !sequence) {
+    return BindingError(text);
+  }
+  const decision::Binding binding = {*gate, *incarnation, *sequence};
+  // One binding has one text: what another writing of it would name has not
+  // been given out.
+  if (WriteBinding(binding) != text) {
+    return BindingError(text);
+  }
+  return binding;
+}
+
+Result<decision::CallArrived> ReadCall(decision::CallId call,
+                                       const HttpRequest& request,
+                                       bool nested) {
+  decision::CallArrived event;
+  event.call = call;
+  event.method = request.method;
+  event.fingerprint = Fingerprint(request);
+  const HttpHeaders& headers = request.headers;
+  if (auto read = ReadBindingHeader(headers, event); !read) {
+    return tl::unexpected(read.error());
+  }
+  if (auto read = ReadTimeoutHeader(headers, event); !read) {
+    return tl::unexpected(read.error());
+  }
+  if (auto read =
+          ReadTokenHeader(headers, kShareHeader, kShareBytes, event.share);
+      !read) {
+    return tl::unexpected(read.error());
+  }
+  if (auto read = ReadTarget(request, event); !read) {
+    return tl::unexpected(read.error());
+  }
+  if (!nested) {
+    return event;
+  }
+  // Without a parent, as for the backend server's own errands, it is an
+  // original request.
+  event.parent = ReadParentVisit(headers);
+  if (auto read = ReadTokenHeader(headers, kIdempotencyKeyHeader,
+                                  kIdempotencyKeyBytes, event.idempotency_key);
+      !read) {
+    return tl::unexpected(read.error());
+  }
+  return event;
+}
+
+HttpRequest ForBackendServer(HttpRequest request,
+                             decision::VisitId visit,
+                             std::optional<Duration> remaining) {
+  if (const auto target = SplitTarget(request.target); target) {
+    std::string rest(target->rest);
+    request.target = rest.starts_with('/') ? rest : "/" + rest;
+  }
+  std::erase_if(request.headers, [](const HttpHeader& header) {
+    return IsProductHeader(header.name);
+  });
+  if (remaining) {
+    const auto left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(*remaining);
+    request.headers.push_back(
+        {std::string(kTimeoutHeader),
+         std::to_string(std::max<std::int64_t>(1, left.count()))});
+  }
+  WriteParentVisit(request.headers, visit);
+  return request;
+}
+
+}  // namespace agaterun::caller
--- a/libraries/caller/request_headers.h
+++ b/libraries/caller/request_headers.h
@@ -7,6 +7,7 @@
 
 #include "libraries/base/error.h"
 #include "libraries/base/http_message.h"
+#include "libraries/base/time.h"
 #include "libraries/decision/events.h"
 
 // How calls, bindings and outcomes look in HTTP.
@@ -21,10 +22,13 @@
 inline constexpr std::string_view kBindingHeader = "Agaterun-Binding";
 // Response header with the binding for the next non-idempotent request.
 inline constexpr std::string_view kNextBindingHeader = "Agaterun-Next-Binding";
-// Request header: milliseconds that the caller will wait.
+// Request header: milliseconds that the caller will wait. The backend server
+// gets it too, and sends what is left of it with its nested calls.
 inline constexpr std::string_view kTimeoutHeader = "Agaterun-Timeout-Ms";
 // Request header: team or caller that is charged inside its class.
 inline constexpr std::string_view kShareHeader = "Agaterun-Share";
+// Response header: milliseconds after which to come back.
+inline constexpr std::string_view kRetryAfterHeader = "Agaterun-Retry-After-Ms";
 inline constexpr std::string_view kIdempotencyKeyHeader = "Idempotency-Key";
 
 // Target that asks what became of a binding: GET /.agaterun/outcome/SERVICE
@@ -55,8 +59,11 @@
                                        bool nested);
 
 // The request as the backend server gets it: target without the service, no
-// headers of this product.
-HttpRequest ForBackendServer(HttpRequest request, decision::VisitId visit);
+// headers of this product but, with `remaining`, kTimeoutHeader with the time
+// left for the answer.
+HttpRequest ForBackendServer(HttpRequest request,
+                             decision::VisitId visit,
+                             std::optional<Duration> remaining = std::nullopt);
 
 // The response for a final answer. Without a backend server's answer the
 // status follows the reason, and a JSON body names outcome, reason and remedy.
@@ -64,6 +71,16 @@
 // Unknown: 502 or 504.
 HttpResponse WriteAnswer(const decision::AnswerCaller& answer);
 
+// The response to a request that is refused before it becomes a call: outcome
+// not-run, 400 for kMalformed, and `remedy` in the body.
+HttpResponse WriteRejection(int status,
+                            decision::Reason reason,
+                            std::string_view remedy,
+                            Duration retry_after = Duration::zero());
+
+// The response to a request that ReadCall refused.
+HttpResponse WriteRejection(const Error& error);
+
 }  // namespace agaterun::caller
 
 #endif  // LIBRARIES_CALLER_REQUEST_HEADERS_H_
--- /dev/null
+++ b/libraries/caller/route_path.cc
@@ -0,0 +1,71 @@
+#include "libraries/caller/route_path.h"
+
+#include <algorithm>
+
+#include "libraries/caller/header_reader.h"
+
+namespace agaterun::caller {
+
+namespace {
+
+Result<std::string> Decode(std::string_view path) {
+  std::string decoded;
+  for (std::size_t at = 0; at < path.size(); ++at) {
+    char letter = path[at];
+    if (letter == '%') {
+      const auto code = ReadNumber(path.substr(at + 1, 2), 16);
+      if (!code || at + 2 >= path.size()) {
+        return MakeError(ErrorKind::kMalformedMessage,
+                         "the path has a broken escape; write '%' as '%25'");
+      }
+      letter = static_cast<char>(*code);
+      at += 2;
+    }
+    if (static_cast<unsigned char>(letter) < ' ' || letter == 0x7f) {
+      return MakeError(ErrorKind::kMalformedMessage,
+                       "the path has a control character; remove it");
+    }
+    decoded += letter;
+  }
+  return decoded;
+}
+
+}  // namespace
+
+Result<ServiceTarget> SplitTarget(std::string_view target) {
+  const std::size_t end =
+      std::min(target.find_first_of("/?", 1), target.size());
+  if (!target.starts_with('/') || end <= 1) {
+    return MakeError(ErrorKind::kMalformedMessage,
+                     "the target names no service; send '/SERVICE/PATH'");
+  }
+  return ServiceTarget{target.substr(1, end - 1), target.substr(end)};
+}
+
+Result<std::string> ReadRoutePath(std::string_view rest) {
+  // Servers decode, merge and resolve paths before they act on them. A route
+  // found by the raw text could be another one than what then runs, and a
+  // non-idempotent request would pass as idempotent.
+  auto decoded = Decode(rest.substr(0, std::min(rest.find('?'), rest.size())));
+  if (!decoded) {
+    return decoded;
+  }
+  std::string path;
+  std::string_view left = *decoded;
+  while (!left.empty()) {
+    const std::size_t end = std::min(left.find_first_of("/\\"), left.size());
+    const std::string_view segment = left.substr(0, end);
+    if (segment == "." || segment == "..") {
+      return MakeError(ErrorKind::kMalformedMessage,
+                       "the path has a '.' or '..' segment; resolve it first");
+    }
+    path += segment;
+    if (end < left.size() && !path.ends_with('/')) {
+      path += '/';
+    }
+    left.remove_prefix(std::min(end + 1, left.size()));
+  }
+  return path.starts_with('/') ? path : "/" + path;
+}
+
+}  // namespace agaterun::caller
--- /dev/null
+++ b/libraries/http/message_reader.h
@@ -0,0 +1,134 @@
+#ifndef LIBRARIES_HTTP_MESSAGE_READER_H_
+#define LIBRARIES_HTTP_MESSAGE_READER_H_
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "libraries/http/framing.h"
+#include "libraries/http/head_collector.h"
+#include "libraries/http/message_limits.h"
+
+namespace agaterun::http {
+
+// Reads one message with a parser of Boost.Beast, whose input and output are
+// not used. What request and response parsers have in common.
+template <bool kIsRequest>
+class MessageReader {
+ public:
+  using Parser =
+      boost::beast::http::parser<kIsRequest, boost::beast::http::string_body>;
+
+  explicit MessageReader(MessageLimits limits)
+      : limits(limits), head(limits.header_bytes) {}
+
+  // Takes bytes up to the end of the head and returns how many were used. The
+  // parser has read the head once HeadIsDone().
+  Result<std::size_t> FeedHead(std::string_view bytes) {
+    const auto used = this->head.Feed(bytes);
+    if (!used || !this->head.IsDone()) {
+      return used;
+    }
+    this->parser.emplace();
+    this->parser->eager(true);
+    this->parser->header_limit(
+        static_cast<std::uint32_t>(this->limits.header_bytes));
+    this->parser->body_limit(this->limits.body_bytes);
+    if (auto parsed = this->Put(this->head.Text()); !parsed) {
+      return tl::unexpected(parsed.error());
+    }
+    if (!this->parser->is_header_done()) {
+      return MakeError(ErrorKind::kMalformedMessage,
+                       "the head is incomplete; follow RFC 9112");
+    }
+    for (const auto& field : this->parser->get()) {
+      this->headers.push_back(
+          {std::string(field.name_string()), std::string(field.value())});
+    }
+    return used;
+  }
+
+  // Takes bytes of the body and returns how many were used.
+  Result<std::size_t> FeedBody(std::string_view bytes) {
+    if (this->parser->is_done()) {
+      return 0;
+    }
+    // The head of a chunk may come in pieces, and the parser wants it whole.
+    if (this->pending.empty()) {
+      const auto used = this->Put(bytes);
+      if (!used || this->parser->is_done()) {
+        return used;
+      }
+      this->pending.assign(bytes.substr(*used));
+      return this->CheckPending(bytes.size());
+    }
+    this->pending.append(bytes);
+    const auto used = this->Put(this->pending);
+    if (!used) {
+      return used;
+    }
+    this->pending.erase(0, *used);
+    if (this->parser->is_done()) {
+      // What is left came with `bytes`: without some of them it was not done.
+      return bytes.size() - this->pending.size();
+    }
+    return this->CheckPending(bytes.size());
+  }
+
+  bool HasStarted() const { return this->head.HasStarted(); }
+  bool HeadIsDone() const { return this->parser.has_value(); }
+  bool IsDone() const { return this->parser && this->parser->is_done(); }
+
+  // Head fields as they came, in order; fields of trailers are left out.
+  HttpHeaders& Headers() { return this->headers; }
+  Parser& Message() { return *this->parser; }
+
+ private:
+  Result<std::size_t> Put(std::string_view bytes) {
+    boost::system::error_code error;
+    const std::size_t used = this->parser->put(
+        boost::asio::const_buffer(bytes.data(), bytes.size()), error);
+    if (!error || error == boost::beast::http::error::need_more) {
+      return used;
+    }
+    if (error == boost::beast::http::error::body_limit) {
+      return MakeError(ErrorKind::kLimitReached,
+                       "the body is longer than " +
+                           std::to_string(this->limits.body_bytes) +
+                           " bytes; send a smaller one");
+    }
+    if (error == boost::beast::http::error::header_limit) {
+      return MakeError(ErrorKind::kLimitReached,
+                       "headers are longer than " +
+                           std::to_string(this->limits.header_bytes) +
+                           " bytes; send shorter or fewer ones");
+    }
+    return MakeError(ErrorKind::kMalformedMessage,
+                     "not HTTP/1.1 (" + error.message() +
+                         "); send a message as RFC 9112 describes it");
+  }
+
+  Result<std::size_t> CheckPending(std::size_t used) const {
+    if (this->pending.size() > this->limits.header_bytes) {
+      return MakeError(ErrorKind::kLimitReached,
+                       "the head of a chunk is too long; leave out chunk "
+                       "extensions and trailers");
+    }
+    return used;
+  }
+
+  MessageLimits limits;
+  HeadCollector head;
+  std::optional<Parser> parser;
+  HttpHeaders headers;
+  std::string pending;
+};
+
+}  // namespace agaterun::http
+
+#endif  // LIBRARIES_HTTP_MESSAGE_READER_H_
--- a/libraries/http/placeholder.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "libraries/http/message_parser.h"
--- /dev/null
+++ b/tests/backend_server/backend_client_test.cc
@@ -0,0 +1,245 @@
+#include "libraries/backend_server/backend_client.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <ostream>
+#include <string>
+#include <thread>
+
+#include <asio/executor_work_guard.hpp>
+
+#include "tests/backend_server/recording_observer.h"
+#include "tests/backend_server/scripted_server.h"
+
+namespace agaterun::backend_server {
+
+namespace {
+
+using decision::BackendFailure;
+using decision::VisitId;
+
+class Fixture {
+ public:
+  explicit Fixture(BackendClient::Options options = {}) {
+    options.backend_server = this->server.Address();
+    options.probe_interval = 5ms;
+    this->client = BackendClient::Create(this->io, options, this->observer);
+    for (int i = 0; i < 3; ++i) {
+      this->threads.emplace_back([this] { this->io.run(); });
+    }
+  }
+
+  ~Fixture() {
+    this->client.reset();
+    this->work.reset();
+    for (auto& thread : this->threads) {
+      thread.join();
+    }
+  }
+
+  void Start(std::uint64_t visit) {
+    this->client->Start(
+        VisitId{0, visit},
+        {.method = "GET", .target = "/" + std::to_string(visit)});
+  }
+
+  ScriptedServer server;
+  RecordingObserver observer;
+  asio::io_context io;
+  asio::executor_work_guard<asio::io_context::executor_type> work =
+      asio::make_work_guard(this->io);
+  std::unique_ptr<BackendClient> client;
+  std::vector<std::thread> threads;
+};
+
+std::string Answer(const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+struct CutCase {
+  std::string name;
+  std::string bytes;  // What is sent before the connection ends.
+  bool reset = false;
+};
+
+std::ostream& operator<<(std::ostream& out, const CutCase& row) {
+  return out << row.name;
+}
+
+const CutCase kCuts[] = {
+    {"nothing", ""},
+    {"nothing and a reset", "", true},
+    {"cut head", "HTTP/1.1 200 OK\r\nContent-"},
+    {"cut body", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab"},
+    {"cut body and a reset", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab",
+     true},
+    {"cut chunks",
+     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n"},
+    {"end by close", "HTTP/1.1 200 OK\r\n\r\nab"},
+    {"more than announced",
+     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nabcdef"},
+    {"only interim", "HTTP/1.1 100 Continue\r\n\r\n"},
+    {"no HTTP", "220 mail ready\r\n\r\n"},
+    {"two lengths",
+     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nab"},
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(BackendClientTest)
+
+BOOST_AUTO_TEST_CASE(ReusesTheConnectionKeptLast) {
+  Fixture fixture;
+  fixture.Start(1);
+  auto first = fixture.server.Accept();
+  fixture.Start(2);
+  auto second = fixture.server.Accept();
+  first.connection.Send(Answer("one"));
+  fixture.observer.Ends(1);
+  second.connection.Send(Answer("two"));
+  fixture.observer.Ends(2);
+  BOOST_TEST(fixture.client->ConnectionCount() == 2);
+  fixture.Start(3);
+  BOOST_TEST(second.connection.Read().value().target == "/3");
+  second.connection.Send(Answer("three"));
+  const auto ends = fixture.observer.Ends(3);
+  BOOST_REQUIRE_EQUAL(ends.size(), 3);
+  BOOST_TEST(ends[0].response->body == "one");
+  BOOST_TEST(ends[2].response->body == "three");
+  BOOST_TEST(ends[2].visit.low == 3);
+}
+
+BOOST_DATA_TEST_CASE(GivesNoPartOfAnAnswer,
+                     boost::unit_test::data::make(kCuts),
+                     row) {
+  Fixture fixture;
+  fixture.Start(1);
+  auto accepted = fixture.server.Accept();
+  accepted.connection.Send(row.bytes);
+  accepted.connection.Close(row.reset);
+  const auto ends = fixture.observer.Ends(1);
+  BOOST_REQUIRE_EQUAL(ends.size(), 1);
+  BOOST_TEST((ends[0].failure == BackendFailure::kBroken));
+  BOOST_TEST(fixture.client->ConnectionCount() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(DoesNotResendOnAStaleConnection) {
+  Fixture fixture;
+  fixture.Start(1);
+  auto accepted = fixture.server.Accept();
+  accepted.connection.Send(Answer("one"));
+  fixture.observer.Ends(1);
+  fixture.Start(2);
+  BOOST_TEST(accepted.connection.Read().value().target == "/2");
+  // The request was read, and nothing says whether it was run.
+  accepted.connection.Close();
+  const auto ends = fixture.observer.Ends(2);
+  BOOST_REQUIRE_EQUAL(ends.size(), 2);
+  BOOST_TEST((ends[1].failure == BackendFailure::kBroken));
+}
+
+BOOST_AUTO_TEST_CASE(PassesOverKeptConnectionsThatClosed) {
+  Fixture fixture;
+  fixture.Start(1);
+  auto accepted = fixture.server.Accept();
+  accepted.connection.Send(Answer("one"));
+  fixture.observer.Ends(1);
+  accepted.connection.Close();
+  fixture.Start(2);
+  auto second = fixture.server.Accept();
+  BOOST_TEST(second.request.target == "/2");
+  second.connection.Send(Answer("two"));
+  BOOST_TEST(fixture.observer.Ends(2)[1].response->body == "two");
+}
+
+BOOST_AUTO_TEST_CASE(TakesNoAnswerThatNothingAskedFor) {
+  Fixture fixture;
+  fixture.Start(1);
+  auto accepted = fixture.server.Accept();
+  accepted.connection.Send(Answer("one"));
+  fixture.observer.Ends(1);
+  accepted.connection.Send(Answer("stray"));
+  fixture.Start(2);
+  auto second = fixture.server.Accept();
+  second.connection.Send(Answer("two"));
+  BOOST_TEST(fixture.observer.Ends(2)[1].response->body == "two");
+}
+
+BOOST_AUTO_TEST_CASE(AbortsAVisitOnce) {
+  Fixture fixture;
+  fixture.Start(1);
+  auto accepted = fixture.server.Accept();
+  fixture.client->Abort(VisitId{0, 1});
+  fixture.client->Abort(VisitId{0, 1});
+  fixture.client->Abort(VisitId{0, 99});
+  BOOST_TEST(accepted.connection.ReadsEnd());
+  accepted.connection.Send(Answer("late"));
+  fixture.Start(2);
+  auto second = fixture.server.Accept();
+  second.connection.Send(Answer("two"));
+  const auto ends = fixture.observer.Ends(2);
+  BOOST_REQUIRE_EQUAL(ends.size(), 2);
+  BOOST_TEST((ends[0].failure == BackendFailure::kAborted));
+  BOOST_TEST(ends[1].response->body == "two");
+}
+
+BOOST_AUTO_TEST_CASE(TellsWhenNoConnectionIsTaken) {
+  Fixture fixture;
+  fixture.server.StopListening();
+  fixture.Start(1);
+  const auto ends = fixture.observer.Ends(1);
+  BOOST_REQUIRE_EQUAL(ends.size(), 1);
+  BOOST_TEST((ends[0].failure == BackendFailure::kNotSent));
+  BOOST_TEST(!fixture.observer.Changes(1).back());
+  fixture.server.Listen();
+  const auto changes = fixture.observer.Changes(2);
+  BOOST_REQUIRE_EQUAL(changes.size(), 2);
+  BOOST_TEST(changes.back());
+}
+
+BOOST_AUTO_TEST_CASE(TellsThatAProcessDiedThoughAnotherListens) {
+  Fixture fixture({.break_window = 10s});
+  fixture.Start(1);
+  auto first = fixture.server.Accept();
+  fixture.Start(2);
+  auto second = fixture.server.Accept();
+  first.connection.Close(true);
+  second.connection.Close(true);
+  const auto changes = fixture.observer.Changes(2);
+  BOOST_REQUIRE_EQUAL(changes.size(), 2);
+  BOOST_TEST(!changes[0]);
+  BOOST_TEST(changes[1]);
+  BOOST_TEST(fixture.observer.Ends(2).size() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(ReadsTheAnswerToHead) {
+  Fixture fixture;
+  fixture.client->Start(VisitId{0, 1}, {.method = "HEAD", .target = "/"});
+  auto accepted = fixture.server.Accept();
+  accepted.connection.Send("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n");
+  BOOST_TEST(fixture.observer.Ends(1)[0].response->status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(TakesAnAnswerBeforeTheEndOfTheRequest) {
+  Fixture fixture;
+  fixture.client->Start(VisitId{0, 1},
+                        {.method = "POST",
+                         .target = "/",
+                         .body = std::string(8 * 1024 * 1024, 'a')});
+  // The request is too long for this server's parser, so it is left unread.
+  ScriptedConnection accepted = fixture.server.AcceptAny();
+  while (accepted.IsProbe()) {
+    accepted = fixture.server.AcceptAny();
+  }
+  accepted.Send("HTTP/1.1 413 Too Long\r\nContent-Length: 0\r\n\r\n");
+  const auto ends = fixture.observer.Ends(1);
+  BOOST_REQUIRE_EQUAL(ends.size(), 1);
+  BOOST_TEST(ends[0].response->status == 413);
+  BOOST_TEST(fixture.client->ConnectionCount() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace agaterun::backend_server
