Tickets: Check settings and change tickets whole, with line and remedy

ParseSettings, ParseTicket and ParseTicketItem refused everything. Every fault comes back with section, key, line and remedy; a ticket is refused whole.

The text of an item is canonical: all keys written out, in a fixed order, so that equal content has an equal hash. Writing only what differs from the defaults was weighed: nodes of two versions with different defaults would then read one text in two ways.

TicketItemText, TicketItem and TicketItemVersion gain the hash of the whole ticket, and the first two the names of its items: of two tickets under one number one wins for all names that both touch, and a receiver sees what it still lacks.

--- /dev/null
+++ b/libraries/base/settings.cc
@@ -0,0 +1,226 @@
+#include "libraries/base/settings.h"
+
+#include <algorithm>
+#include <map>
+
+#include "libraries/base/ini_document.h"
+#include "libraries/base/ini_section_reader.h"
+
+namespace agaterun {
+
+namespace {
+
+constexpr int kMostThreads = 64;
+constexpr int kMostConnections = 65536;
+constexpr int kMostBodyKilobytes = 64 * 1024;
+constexpr std::size_t kBytesPerKilobyte = 1024;
+constexpr std::size_t kMostSeeds = 16;
+
+std::vector<std::string> SectionNames() {
+  return {"node", "caller", "backend_server", "platform", "operator"};
+}
+
+// Stands for a section that the text lacks, so that its required keys are
+// reported by name.
+const IniSection& SectionOrEmpty(const IniDocument& document,
+                                 const IniSection& empty) {
+  const auto* section = document.Find(empty.name);
+  return section == nullptr ? empty : *section;
+}
+
+class SettingsReader {
+ public:
+  SettingsReader(const IniDocument& document, IniFaults& faults)
+      : document(document), faults(faults) {}
+
+  NodeSettings Read() {
+    this->ReadNode();
+    this->ReadCaller();
+    if (this->document.Find("backend_server") != nullptr) {
+      this->ReadBackendServer();
+    }
+    this->settings.platform =
+        this->ReadAddressOnly("platform", "127.0.0.1:8300");
+    this->settings.operator_address =
+        this->ReadAddressOnly("operator", "127.0.1.1:8200");
+    this->CheckSections();
+    this->CheckListeners();
+    return std::move(this->settings);
+  }
+
+ private:
+  void ReadNode() {
+    const IniSection empty{.name = "node"};
+    IniSectionReader reader(SectionOrEmpty(this->document, empty),
+                            this->faults);
+    reader.Require("host", "drafts-a-1");
+    reader.Require("region", "cascadia");
+    reader.Require("failure_domain", "a");
+    reader.Require("address", "127.0.1.1:7400");
+    this->settings.host = reader.Text("host").value_or("");
+    this->settings.region = this->ReadWord(reader, "region");
+    this->settings.failure_domain = this->ReadWord(reader, "failure_domain");
+    this->settings.node = reader.Address("address").value_or(NodeAddress{});
+    this->ReadSeeds(reader);
+    this->settings.threads =
+        static_cast<int>(reader.Integer("threads", 1, kMostThreads)
+                             .value_or(this->settings.threads));
+    if (const auto level =
+            reader.OneOf("log_level", {"debug", "info", "warning", "error"});
+        level) {
+      this->settings.log_level = static_cast<LogLevel>(*level);
+    }
+    reader.Finish();
+  }
+
+  // Tickets name failure domains as REGION/FAILURE_DOMAIN.
+  std::string ReadWord(IniSectionReader& reader, std::string_view key) {
+    const auto word = reader.Text(key).value_or("");
+    if (word.find_first_of("/ \t") != std::string::npos) {
+      reader.Fail(key, "'" + word + "' has a '/' or a blank; remove it");
+    }
+    return word;
+  }
+
+  void ReadSeeds(IniSectionReader& reader) {
+    const auto text = reader.Text("seeds");
+    std::string_view rest = text ? *text : std::string_view();
+    while (!rest.empty()) {
+      const auto start = rest.find_first_not_of(" \t,");
+      if (start == std::string_view::npos) {
+        break;
+      }
+      rest.remove_prefix(start);
+      const auto end = std::min(rest.find_first_of(" \t,"), rest.size());
+      const auto seed = NodeAddress::Parse(rest.substr(0, end));
+      rest.remove_prefix(end);
+      if (!seed) {
+        reader.Fail("seeds", seed.error().message);
+        continue;
+      }
+      this->settings.seeds.push_back(*seed);
+    }
+    if (this->settings.seeds.size() > kMostSeeds) {
+      reader.Fail("seeds", "more than " + std::to_string(kMostSeeds) +
+                               " seeds; a few per failure domain are enough");
+    }
+  }
+
+  void ReadCaller() {
+    const IniSection empty{.name = "caller"};
+    IniSectionReader reader(SectionOrEmpty(this->document, empty),
+                            this->faults);
+    reader.Require("address", "127.0.1.1:8000");
+    this->settings.caller = reader.Address("address").value_or(NodeAddress{});
+    if (const auto count = reader.Integer("connections", 1, kMostConnections);
+        count) {
+      this->settings.caller_connections = static_cast<std::size_t>(*count);
+    }
+    if (const auto size = reader.Integer("body_kb", 1, kMostBodyKilobytes);
+        size) {
+      this->settings.body_bytes =
+          static_cast<std::size_t>(*size) * kBytesPerKilobyte;
+    }
+    reader.Finish();
+  }
+
+  void ReadBackendServer() {
+    IniSectionReader reader(*this->document.Find("backend_server"),
+                            this->faults);
+    reader.Require("service", "drafts");
+    reader.Require("address", "127.0.1.1:9000");
+    reader.Require("nested_address", "127.0.1.1:8001");
+    this->settings.service = reader.Text("service").value_or("");
+    this->settings.backend_server = reader.Address("address");
+    this->settings.nested = reader.Address("nested_address");
+    reader.Finish();
+  }
+
+  NodeAddress ReadAddressOnly(std::string_view name, std::string_view example) {
+    const IniSection empty{.name = std::string(name)};
+    IniSectionReader reader(SectionOrEmpty(this->document, empty),
+                            this->faults);
+    reader.Require("address", example);
+    const auto address = reader.Address("address").value_or(NodeAddress{});
+    reader.Finish();
+    return address;
+  }
+
+  void CheckSections() {
+    const auto names = SectionNames();
+    for (const auto& section : this->document.Sections()) {
+      if (std::find(names.begin(), names.end(), section.name) != names.end()) {
+        continue;
+      }
+      const auto meant = DidYouMean(section.name, names);
+      this->faults.push_back(
+          {.section = section.name,
+           .line = section.line,
+           .message = "unknown section [" + section.name + "]" +
+                      (meant.empty() ? "; remove it" : meant)});
+    }
+  }
+
+  // Two listeners on one address would only fail when the second opens.
+  void CheckListeners() {
+    std::map<NodeAddress, std::string> taken;
+    const auto check = [&](std::string_view section, std::string_view key,
+                           std::optional<NodeAddress> address) {
+      const auto* where = this->document.Find(section);
+      if (!address || *address == NodeAddress{} || where == nullptr) {
+        return;
+      }
+      const auto [earlier, is_new] = taken.emplace(
+          *address, "[" + std::string(section) + "] " + std::string(key));
+      if (!is_new) {
+        IniSectionReader(*where, this->faults)
+            .Fail(key, address->ToString() + " is taken by " + earlier->second +
+                           "; choose another port");
+      }
+    };
+    check("node", "address", this->settings.node);
+    check("caller", "address", this->settings.caller);
+    check("backend_server", "address", this->settings.backend_server);
+    check("backend_server", "nested_address", this->settings.nested);
+    check("operator", "address", this->settings.operator_address);
+    check("platform", "address", this->settings.platform);
+  }
+
+  const IniDocument& document;
+  IniFaults& faults;
+  NodeSettings settings;
+};
+
+}  // namespace
+
+tl::expected<NodeSettings, std::vector<SettingsFault>> ParseSettings(
+    std::string_view text) {
+  IniFaults faults;
+  const auto document = IniDocument::Parse(text, faults);
+  auto settings = SettingsReader(document, faults).Read();
+  if (!faults.empty()) {
+    std::stable_sort(faults.begin(), faults.end(),
+                     [](const IniFault& left, const IniFault& right) {
+                       return left.line < right.line;
+                     });
+    return tl::unexpected(std::move(faults));
+  }
+  return settings;
+}
+
+std::string Describe(const SettingsFault& fault, std::string_view file) {
+  std::string text(file);
+  if (fault.line > 0) {
+    text += ":" + std::to_string(fault.line);
+  }
+  text += ": ";
+  if (!fault.section.empty()) {
+    text += "[" + fault.section + "] ";
+  }
+  if (!fault.key.empty()) {
+    text += fault.key + ": ";
+  }
+  return text + fault.message;
+}
+
+}  // namespace agaterun
--- a/libraries/base/settings.h
+++ b/libraries/base/settings.h
@@ -8,6 +8,7 @@
 #include <tl/expected.hpp>
 #include <vector>
 
+#include "libraries/base/ini_fault.h"
 #include "libraries/base/log_event.h"
 #include "libraries/base/node_address.h"
 #include "libraries/base/time.h"
@@ -42,13 +43,8 @@
   NodeAddress operator_address;  // `address`: administration API.
 };
 
-// One fault of a settings file. `line` counts from 1; 0 stands for the file.
-struct SettingsFault {
-  std::string section;
-  std::string key;
-  int line = 0;
-  std::string message;  // Names the remedy.
-};
+// One fault of a settings file.
+using SettingsFault = IniFault;
 
 // Checks settings whole: returns all faults, unknown sections and keys, repeats
 // and two listeners on one address included.
--- a/libraries/decision/events.h
+++ b/libraries/decision/events.h
@@ -119,10 +119,15 @@
   std::string name;
   std::uint64_t number = 0;
   std::string text;
+  // Of the whole ticket that the item came with, and the names of all its
+  // items, so that a receiver sees which of them it still lacks.
+  std::uint64_t ticket_hash = 0;
+  std::vector<std::string> siblings;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->name, this->number, this->text);
+    archive(this->name, this->number, this->text, this->ticket_hash,
+            this->siblings);
   }
 };
 
@@ -130,11 +135,12 @@
 struct TicketItemVersion {
   std::string name;
   std::uint64_t number = 0;
+  std::uint64_t ticket_hash = 0;
   std::uint64_t text_hash = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->name, this->number, this->text_hash);
+    archive(this->name, this->number, this->ticket_hash, this->text_hash);
   }
 };
 
--- a/libraries/decision/ticket.cc
+++ b/libraries/decision/ticket.cc
@@ -2,36 +2,180 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+#include <tuple>
+
+#include "libraries/base/ini_document.h"
+#include "libraries/decision/ticket_parser.h"
+#include "libraries/decision/ticket_text.h"
+
 namespace agaterun::decision {
 
 namespace {
 
+// Feeds fixed-size numbers and length-prefixed texts, so that no two different
+// sequences of them hash alike by concatenation.
+class Hasher {
+ public:
+  void Add(std::uint64_t number) {
+    for (int shift = 0; shift < 64; shift += 8) {
+      this->bytes.push_back(static_cast<char>(number >> shift));
+    }
+  }
+  void Add(std::string_view text) {
+    this->Add(std::uint64_t{text.size()});
+    this->bytes += text;
+  }
+  std::uint64_t Digest() const {
+    return XXH64(this->bytes.data(), this->bytes.size(), 0);
+  }
+
+ private:
+  std::string bytes;
+};
+
+std::uint64_t HashOf(std::string_view text) {
+  return XXH64(text.data(), text.size(), 0);
+}
+
 std::uint64_t DigestOf(const TicketState& state) {
-  XXH64_state_t* hash = XXH64_createState();
-  XXH64_reset(hash, 0);
+  Hasher hasher;
   for (const auto& [name, item] : state.items) {
-    XXH64_update(hash, name.data(), name.size());
-    XXH64_update(hash, &item.number, sizeof(item.number));
-    XXH64_update(hash, &item.text_hash, sizeof(item.text_hash));
+    hasher.Add(name);
+    hasher.Add(item.number);
+    hasher.Add(item.ticket_hash);
+    hasher.Add(item.text_hash);
+  }
+  return hasher.Digest();
+}
+
+std::vector<TicketFault> ToTicketFaults(const IniFaults& faults) {
+  std::vector<TicketFault> result;
+  for (const auto& fault : faults) {
+    std::string message;
+    if (!fault.section.empty()) {
+      message += "[" + fault.section + "] ";
+    }
+    if (!fault.key.empty()) {
+      message += fault.key + ": ";
+    }
+    result.push_back({.line = fault.line, .message = message + fault.message});
+  }
+  std::stable_sort(result.begin(), result.end(),
+                   [](const TicketFault& left, const TicketFault& right) {
+                     return left.line < right.line;
+                   });
+  return result;
+}
+
+tl::unexpected<std::vector<TicketFault>> WholeTextFault(std::string message) {
+  return tl::unexpected(
+      std::vector{TicketFault{.line = 0, .message = std::move(message)}});
+}
+
+std::string TooLarge(std::size_t bytes) {
+  return std::to_string(bytes) + " bytes are more than the " +
+         std::to_string(kLargestTicketBytes) +
+         " that a ticket may have; split it into several tickets";
+}
+
+// The order by which one of two items of a name wins on every node.
+auto Rank(const TicketItem& item) {
+  return std::tie(item.number, item.ticket_hash, item.text_hash);
+}
+
+// Gives every item the hash of the whole ticket and the list of its siblings.
+void Link(Ticket& ticket) {
+  Hasher hasher;
+  std::vector<std::string> names;
+  for (const auto& item : ticket.items) {
+    hasher.Add(item.text);
+    names.push_back(item.name);
+  }
+  for (auto& item : ticket.items) {
+    item.number = ticket.number;
+    item.ticket_hash = hasher.Digest();
+    item.siblings = names;
   }
-  const auto digest = XXH64_digest(hash);
-  XXH64_freeState(hash);
-  return digest;
 }
 
 }  // namespace
 
-// FIXME: The format of tickets is not parsed yet.
 tl::expected<Ticket, std::vector<TicketFault>> ParseTicket(
-    std::string_view /*text*/) {
-  return tl::unexpected(
-      std::vector{TicketFault{.line = 0, .message = "not parsed yet"}});
+    std::string_view text) {
+  if (text.size() > kLargestTicketBytes) {
+    return WholeTextFault(TooLarge(text.size()));
+  }
+  IniFaults faults;
+  const auto document = IniDocument::Parse(text, faults);
+  TicketParser parser(document, faults);
+  parser.Read(/*with_number=*/true);
+  if (!faults.empty()) {
+    return tl::unexpected(ToTicketFaults(faults));
+  }
+  Ticket ticket{.number = parser.Number()};
+  std::size_t bytes = 0;
+  const auto add = [&](const auto& content) {
+    ticket.items.push_back(
+        {.name = ItemNameOf(content), .text = CanonicalText(content)});
+    bytes += ticket.items.back().text.size();
+  };
+  for (const auto& [name, policy] : parser.Policies()) {
+    add(*policy);
+  }
+  for (const auto& [name, service] : parser.Services()) {
+    add(*service);
+  }
+  if (ticket.items.empty()) {
+    return WholeTextFault("nothing but a number; add [service NAME]");
+  }
+  if (ticket.items.size() > kMostTicketItems) {
+    return WholeTextFault(std::to_string(ticket.items.size()) +
+                          " services and policies are more than the " +
+                          std::to_string(kMostTicketItems) +
+                          " that a ticket may have; split it");
+  }
+  // Nodes pass the canonical text on, so it has to fit their frames too.
+  if (bytes > kLargestTicketBytes) {
+    return WholeTextFault("with all defaults written out, " + TooLarge(bytes));
+  }
+  Link(ticket);
+  return ticket;
 }
 
 tl::expected<TicketItem, std::vector<TicketFault>> ParseTicketItem(
-    const TicketItemText& /*item*/) {
-  return tl::unexpected(
-      std::vector{TicketFault{.line = 0, .message = "not parsed yet"}});
+    const TicketItemText& item) {
+  if (item.text.size() > kLargestTicketBytes) {
+    return WholeTextFault(TooLarge(item.text.size()));
+  }
+  IniFaults faults;
+  const auto document = IniDocument::Parse(item.text, faults);
+  TicketParser parser(document, faults);
+  parser.Read(/*with_number=*/false);
+  if (!faults.empty()) {
+    return tl::unexpected(ToTicketFaults(faults));
+  }
+  if (parser.Services().size() + parser.Policies().size() != 1) {
+    return WholeTextFault("not the text of one service or policy");
+  }
+  TicketItem parsed{.name = item.name,
+                    .number = item.number,
+                    .ticket_hash = item.ticket_hash,
+                    .text_hash = HashOf(item.text),
+                    .text = item.text,
+                    .siblings = item.siblings};
+  if (!parser.Services().empty()) {
+    parsed.service = parser.Services().begin()->second;
+  } else {
+    parsed.policy = parser.Policies().begin()->second;
+  }
+  const auto name =
+      parsed.service ? ItemNameOf(*parsed.service) : ItemNameOf(*parsed.policy);
+  if (name != item.name || item.number == 0) {
+    return WholeTextFault("the text of '" + name + "' came as '" + item.name +
+                          "' number " + std::to_string(item.number));
+  }
+  return parsed;
 }
 
 std::shared_ptr<const TicketState> MergeTicketItems(
@@ -43,13 +187,11 @@
     const auto& current = merged ? *merged : *state;
     if (const auto known = current.items.find(item.name);
         known != current.items.end()) {
-      const auto& [name_in_force, in_force] = *known;
-      if (in_force.number == item.number &&
-          in_force.text_hash != item.text_hash) {
+      const auto& in_force = known->second;
+      if (in_force.number == item.number && Rank(in_force) != Rank(item)) {
         conflicts.push_back(item.name);
       }
-      if (std::pair(in_force.number, in_force.text_hash) >=
-          std::pair(item.number, item.text_hash)) {
+      if (Rank(in_force) >= Rank(item)) {
         continue;
       }
     }
--- a/libraries/decision/ticket.h
+++ b/libraries/decision/ticket.h
@@ -13,6 +13,7 @@
 namespace agaterun::decision {
 
 inline constexpr std::size_t kLargestTicketBytes = 1024 * 1024;
+inline constexpr std::size_t kMostTicketItems = 128;
 
 // One fault of a ticket. `line` counts from 1; 0 stands for the whole text.
 struct TicketFault {
@@ -36,8 +37,9 @@
     const TicketItemText& item);
 
 // `state` with `items` merged in: per name the larger number stays, and of
-// equal numbers the larger text hash. Returns `state` itself when nothing
-// changed. `conflicts` gets the names with two texts under one number.
+// equal numbers the larger ticket hash, then the larger text hash. Returns
+// `state` itself when nothing changed. `conflicts` gets the names with two
+// texts under one number.
 std::shared_ptr<const TicketState> MergeTicketItems(
     const std::shared_ptr<const TicketState>& state,
     const std::vector<TicketItem>& items,
--- a/libraries/decision/ticket_state.h
+++ b/libraries/decision/ticket_state.h
@@ -59,8 +59,13 @@
 struct TicketItem {
   std::string name;  // "service drafts", "policy shares".
   std::uint64_t number = 0;
-  std::uint64_t text_hash = 0;  // Of `text`; breaks ties between equal numbers.
-  std::string text;             // The INI sections of this item.
+  // Of the whole ticket; of two tickets with one number the larger hash wins,
+  // for all names that both touch.
+  std::uint64_t ticket_hash = 0;
+  std::uint64_t text_hash = 0;  // Of `text`; breaks what ties are left.
+  std::string text;             // The INI sections of this item, canonical.
+  // Names of all items of the ticket. Empty stands for this one alone.
+  std::vector<std::string> siblings;
   std::shared_ptr<const ServiceState> service;  // One of the two is set.
   std::shared_ptr<const PolicyState> policy;
 };
@@ -70,8 +75,7 @@
 struct TicketState {
   // By item name.
   std::map<std::string, TicketItem, std::less<>> items;
-  // Hash over all names, numbers and text hashes. Equal digests mean equal
-  // state.
+  // Hash over all names, numbers and hashes. Equal digests mean equal state.
   std::uint64_t digest = 0;
 
   // The service called `name`, or nullptr.
