--- a/libraries/driver/node_driver.cc
+++ b/libraries/driver/node_driver.cc
@@ -21,7 +21,8 @@
 constexpr Duration kAdminReadTimeout = 2s;
 
 // The answers of a drained node have this long to reach their readers.
-constexpr Duration kFlushTime = 200ms;
+constexpr Duration kFlushTime = 2s;
+constexpr Duration kFlushPoll = 20ms;
 
 }  // namespace
 
@@ -64,6 +65,9 @@
     return tl::unexpected(links.error());
   }
   this->links = std::move(*links);
+  this->links->SetAllowedPeers(
+      [this](NodeAddress peer) { return this->known_hosts.Knows(peer); });
+  this->known_hosts.SetSeeds(this->settings.seeds);
   if (this->settings.backend_server) {
     this->backend = backend_server::BackendClient::Create(
         this->io,
@@ -161,7 +165,10 @@
   auto event = caller::ReadCall(call, request, nested);
   if (!event) {
     Log(LogEvent::kRequestRejected, {{"why", event.error().message}});
-    this->Refuse(call, nested, Reason::kMalformed);
+    this->metrics.RecordCall(decision::Importance::kNormal, Outcome::kNotRun,
+                             Reason::kMalformed, Duration{});
+    this->ServerOf(nested)->Answer(call,
+                                   caller::WriteRejection(event.error()));
     return;
   }
   // Requests that no ticket knows end here, on the thread that read them.
@@ -341,7 +348,8 @@
         .visit = action.visit, .failure = decision::BackendFailure::kNotSent});
     return;
   }
-  auto request = caller::ForBackendServer(*found->second.request, action.visit);
+  auto request = caller::ForBackendServer(*found->second.request, action.visit,
+                                          action.remaining);
   this->requests.visits.erase(found);
   this->requests.started.emplace(action.visit, this->clock.Now());
   this->backend->Start(action.visit, std::move(request));
@@ -396,6 +404,7 @@
 
 void NodeDriver::OnHostList(std::vector<decision::HostListEntry> hosts) {
   this->OnStrand([this, hosts = std::move(hosts)]() mutable {
+    this->known_hosts.SetHostList(hosts);
     this->Handle(decision::HostListReceived{.hosts = std::move(hosts)});
   });
 }
@@ -409,8 +418,8 @@
 
 void NodeDriver::Perform(const decision::PublishState& action) {
   this->published.Publish(action.state);
+  this->known_hosts.SetTickets(*action.state);
   this->links->SetStateDigest(action.state->digest);
-  this->ready = this->decisions.Spread().Ready();
 }
 
 // --- Time, logs, the end. ---
@@ -430,14 +439,28 @@
 }
 
 void NodeDriver::Perform(const decision::Drained& /*action*/) {
-  this->wake_timer.expires_after(kFlushTime);
-  this->wake_timer.async_wait([this](const std::error_code& /*error*/) {
-    this->links->Close();
-    Log(LogEvent::kStopped);
-    if (this->on_stopped) {
-      this->on_stopped();
-    }
-  });
+  this->links->Close();
+  this->FinishStop(this->clock.Now() + kFlushTime);
+}
+
+// Answers and replies that are written but not yet read keep the connections
+// open; a reader that takes nothing doesn't hold the process for ever.
+void NodeDriver::FinishStop(Instant latest) {
+  const bool all_closed = this->links->ConnectionCount() == 0 &&
+                          this->callers->ConnectionCount() == 0;
+  if (!all_closed && this->clock.Now() < latest) {
+    this->wake_timer.expires_after(kFlushPoll);
+    this->wake_timer.async_wait([this, latest](const std::error_code& error) {
+      if (!error) {
+        this->FinishStop(latest);
+      }
+    });
+    return;
+  }
+  Log(LogEvent::kStopped);
+  if (this->on_stopped) {
+    this->on_stopped();
+  }
 }
 
 // --- Operators. ---
--- a/libraries/driver/node_driver.h
+++ b/libraries/driver/node_driver.h
@@ -17,6 +17,7 @@
 #include "libraries/base/settings.h"
 #include "libraries/caller/caller_server.h"
 #include "libraries/decision/node.h"
+#include "libraries/driver/known_hosts.h"
 #include "libraries/driver/published_state.h"
 #include "libraries/driver/request_store.h"
 #include "libraries/node/node_links.h"
@@ -109,6 +110,9 @@
   void Perform(const decision::Report& action);
   void Perform(const decision::Drained& action);
 
+  // Stops once all connections are closed, at the latest at `latest`.
+  void FinishStop(Instant latest);
+
   // Answers without a decision: the call never became one.
   void Refuse(decision::CallId call, bool nested, decision::Reason reason);
   caller::CallerServer* ServerOf(bool nested);
@@ -125,10 +129,10 @@
   decision::Node decisions;
   RequestStore requests;
   PublishedState published;
+  KnownHosts known_hosts;
   operator_interface::Metrics metrics;
   asio::steady_timer wake_timer;
   std::atomic<decision::CallId> call_ids{1};
-  std::atomic<bool> ready{false};
   std::atomic<bool> leaving{false};
   // Events that actions of this node raise at this same node.
   std::deque<decision::Event> own_events;
--- a/meta/region.py
+++ b/meta/region.py
@@ -54,7 +54,7 @@
 LECTERN = [
     Service("drafts", 4, 80, 570, 200, "vault/audio",
             [Route("open", "GET", "/drafts", "normal", True)]),
-    Service("dispatch", 3, 100, 720, 250, "vault/audio,POST ledger/invoices",
+    Service("dispatch", 3, 100, 720, 250, "vault/audio,POST:ledger/invoices",
             [Route("send", "POST", "/packets", "critical", False)]),
     Service("vault", 3, 100, 720, 150, "ledger/entitlements",
             [Route("audio", "GET", "/audio", "normal", True),
@@ -67,7 +67,7 @@
 SODCEK = [
     Service("balance", 5, 70, 510, 100, "",
             [Route("lookup", "GET", "/balances", "normal", True)]),
-    Service("redemption", 4, 90, 620, 150, "balance/balances,POST refund/entries",
+    Service("redemption", 4, 90, 620, 150, "balance/balances,POST:refund/entries",
             [Route("redeem", "POST", "/redemptions", "critical", False)]),
     Service("pour-list", 3, 110, 780, 120, "balance/balances",
             [Route("download", "GET", "/lists", "background", True)]),
@@ -175,7 +175,7 @@
     def start_backend(self, host):
         arguments = [self.build / "tests/fake_backend_server",
                      "--listen", f"{host.ip}:{BACKEND_PORT}",
-                     "--name", host.service.name,
+                     "--service", host.service.name,
                      "--slots", host.service.slots,
                      "--connections", host.service.connections,
                      "--service-ms", host.service.service_ms]
