--- a/libraries/platform/placeholder.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "libraries/platform/platform_reader.h"
