--- /dev/null
+++ b/tests/decision/origin_bindings_test.cc
@@ -0,0 +1,269 @@
+#include <boost/test/unit_test.hpp>
+#include <memory>
+
+#include "libraries/decision/origin.h"
+#include "tests/decision/faulty_gates.h"
+
+namespace agaterun::decision {
+
+BOOST_AUTO_TEST_SUITE(OriginBindingsTest)
+
+constexpr int kOrigins = 3;
+constexpr int kGates = 4;
+
+// Callers that send one write each, and resend it under its binding through
+// any node; and handlers that repeat nested writes under one key.
+class BindingWorld {
+ public:
+  explicit BindingWorld(std::uint64_t seed)
+      : random(seed), gates(time, random) {
+    auto state = std::make_shared<TicketState>();
+    auto service = MakeService("vault", kGates);
+    for (auto& route : service->routes) {
+      route.deadline = 400ms;
+    }
+    AddTo(*state, service);
+    AddTo(*state, 1000.0);
+    for (int number = 0; number < kOrigins; ++number) {
+      this->hosts.push_back(
+          std::make_unique<Host>(NodeOf(90 + number), this->random));
+      this->hosts.back()->origin.SetState(state);
+    }
+  }
+
+  // Runs `requests` writes of both kinds and all that follows.
+  void Run(int requests) {
+    for (std::uint64_t fingerprint = 1;
+         fingerprint <= static_cast<std::uint64_t>(requests); ++fingerprint) {
+      const auto start = this->time.Now() + this->Delay(3000);
+      if (this->random.Below(2) == 0) {
+        this->time.At(start, [this, fingerprint] { this->Ask(fingerprint); });
+      } else {
+        this->time.At(start,
+                      [this, fingerprint] { this->RunVisit(fingerprint); });
+      }
+    }
+    for (int restart = 0; restart < 3; ++restart) {
+      this->time.After(this->Delay(3000), [this] {
+        this->gates.Restart(
+            NodeOf(1 + static_cast<int>(this->random.Below(kGates))));
+      });
+    }
+    this->time.RunUntil(60s);
+  }
+
+  // True at the end, whatever happened on the way.
+  void Check(int requests) {
+    for (std::uint64_t fingerprint = 1;
+         fingerprint <= static_cast<std::uint64_t>(requests); ++fingerprint) {
+      const auto& told = this->told[fingerprint];
+      const int runs = this->gates.RunsOf(fingerprint);
+      BOOST_TEST_CONTEXT("request " << fingerprint) {
+        BOOST_TEST(runs <= 1);
+        BOOST_TEST((told.not_run == 0 || runs == 0));
+        BOOST_TEST((told.completed == 0 || runs == 1));
+        const bool all_not_run = told.completed + told.unknown == 0;
+        BOOST_TEST((!all_not_run || runs == 0));
+      }
+      this->completed += told.completed;
+      this->not_run += told.not_run;
+      this->unknown += told.unknown;
+    }
+    for (const auto& host : this->hosts) {
+      BOOST_TEST(host->origin.CallsInFlight() == 0U);
+      BOOST_TEST(host->answered.size() == host->arrived);
+      for (const auto& [address, peer] : host->peers.All()) {
+        BOOST_TEST(peer.in_flight == 0);
+      }
+    }
+  }
+
+  int completed = 0;
+  int not_run = 0;
+  int unknown = 0;
+
+ private:
+  struct Host {
+    Host(NodeAddress self, RandomSource& random)
+        : origin({.self = self, .incarnation = 5}, parents, peers, random) {}
+
+    FakeParents parents;
+    PeerTable peers;
+    Origin origin;
+    std::size_t arrived = 0;
+    std::unordered_map<CallId, AnswerCaller> answered;
+    std::unordered_map<CallId, CallArrived> calls;
+  };
+
+  struct Told {
+    int completed = 0;
+    int not_run = 0;
+    int unknown = 0;
+  };
+
+  Duration Delay(std::uint64_t milliseconds) {
+    return Duration{1ms} * this->random.Below(milliseconds);
+  }
+
+  Host& AnyHost() { return *this->hosts[this->random.Below(kOrigins)]; }
+
+  void Arrive(Host& host, CallArrived event) {
+    event.call = ++this->last_call;
+    event.service = "vault";
+    event.method = "POST";
+    event.path = "/write";
+    ++host.arrived;
+    host.calls[event.call] = event;
+    Actions actions;
+    host.origin.OnCallArrived(this->time.Now(), event, actions);
+    this->Perform(host, actions);
+  }
+
+  // An outside caller asks for its binding first.
+  void Ask(std::uint64_t fingerprint) {
+    this->Arrive(this->AnyHost(), {.fingerprint = fingerprint});
+  }
+
+  // A visit sends one write, and repeats it under the same key.
+  void RunVisit(std::uint64_t fingerprint) {
+    auto& host = this->AnyHost();
+    const VisitId visit = {.high = 1, .low = fingerprint};
+    host.parents.Add(visit, {.visit = {.deadline = this->time.Now() + 2s},
+                             .allowance = RetryAllowance({.retries = 6})});
+    for (int repeat = 0; repeat < 3; ++repeat) {
+      this->time.After(this->Delay(900), [this, &host, visit, fingerprint] {
+        this->Arrive(host, {.fingerprint = fingerprint,
+                            .parent = visit,
+                            .idempotency_key = "key"});
+      });
+    }
+  }
+
+  void Perform(Host& host, const Actions& actions) {
+    for (const auto& send : AllOf<SendAttempt>(actions)) {
+      this->Carry(host, send);
+    }
+    for (const auto& answer : AllOf<AnswerCaller>(actions)) {
+      BOOST_TEST(host.answered.emplace(answer.call, answer).second);
+      this->TakeAnswer(host, answer);
+    }
+    if (const auto wake = host.origin.NextWake(); wake) {
+      this->time.At(*wake, [this, &host] {
+        Actions due;
+        host.origin.OnTick(this->time.Now(), due);
+        this->Perform(host, due);
+      });
+    }
+  }
+
+  void TakeAnswer(Host& host, const AnswerCaller& answer) {
+    const auto& call = host.calls.at(answer.call);
+    if (answer.reason == Reason::kBindingRequired) {
+      // Sent and resent under its binding, also before any answer is there.
+      for (int copy = 0; copy < 3; ++copy) {
+        this->time.After(this->Delay(500), [this,
+                                            fingerprint = call.fingerprint,
+                                            binding = answer.next_binding] {
+          const bool is_query = this->random.Below(8) == 0;
+          this->Arrive(
+              this->AnyHost(),
+              {.kind = is_query ? VisitKind::kQueryBinding : VisitKind::kRun,
+               .fingerprint = fingerprint,
+               .binding = binding});
+        });
+      }
+      return;
+    }
+    // Before it had a binding, or when a repeat under the key starts afresh,
+    // "not run" speaks of that call alone.
+    const bool is_final = call.binding.has_value();
+    auto& told = this->told[call.fingerprint];
+    told.completed += answer.outcome == Outcome::kCompleted ? 1 : 0;
+    told.not_run += is_final && answer.outcome == Outcome::kNotRun ? 1 : 0;
+    told.unknown += answer.outcome == Outcome::kUnknown ? 1 : 0;
+    if (call.parent && answer.outcome == Outcome::kNotRun) {
+      BOOST_TEST(this->gates.RunsOf(call.fingerprint) == 0);
+    }
+    if (answer.outcome == Outcome::kCompleted) {
+      BOOST_TEST(answer.answer->body == std::to_string(call.fingerprint));
+    }
+  }
+
+  // Carries an attempt and the word on it, with all that a network does.
+  void Carry(Host& host, const SendAttempt& send) {
+    const auto lose = [this, &host, attempt = send.request.attempt](bool sent) {
+      this->time.After(this->Delay(50), [this, &host, attempt, sent] {
+        Actions actions;
+        host.origin.OnAttemptLost(this->time.Now(),
+                                  {.attempt = attempt, .sent = sent}, actions);
+        this->Perform(host, actions);
+      });
+    };
+    const auto reply = [this, &host](const VisitReply& word,
+                                     const Answer& answer) {
+      if (this->random.Below(8) == 0) {
+        return;
+      }
+      const int copies = this->random.Below(8) == 0 ? 2 : 1;
+      for (int copy = 0; copy < copies; ++copy) {
+        this->time.After(this->Delay(60), [this, &host, word, answer] {
+          Actions actions;
+          host.origin.OnAttemptReplied(
+              this->time.Now(), {.reply = word, .answer = answer}, actions);
+          this->Perform(host, actions);
+        });
+      }
+    };
+    const auto dice = this->random.Below(20);
+    if (dice == 0) {
+      lose(false);
+      return;
+    }
+    if (dice <= 2) {
+      lose(true);
+    }
+    if (dice == 1) {
+      return;
+    }
+    const int copies = dice == 3 ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy) {
+      this->time.After(this->Delay(100), [this, send, reply] {
+        this->gates.Arrive(send, reply);
+      });
+    }
+  }
+
+  VirtualTime time;
+  SeededRandom random;
+  FaultyGates gates;
+  std::vector<std::unique_ptr<Host>> hosts;
+  std::unordered_map<std::uint64_t, Told> told;
+  CallId last_call = 0;
+};
+
+BOOST_AUTO_TEST_CASE(WritesRunAtMostOnceAndNotRunIsTrue) {
+  int completed = 0;
+  int not_run = 0;
+  int unknown = 0;
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      constexpr int kRequests = 40;
+      BindingWorld world(seed);
+      world.Run(kRequests);
+      world.Check(kRequests);
+      completed += world.completed;
+      not_run += world.not_run;
+      unknown += world.unknown;
+    }
+  }
+  // Each outcome was met often.
+  BOOST_TEST(completed > 500);
+  BOOST_TEST(not_run > 500);
+  BOOST_TEST(unknown > 500);
+  BOOST_TEST_MESSAGE("completed " << completed << ", not run " << not_run
+                                  << ", unknown " << unknown);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace agaterun::decision
--- a/tests/decision/origin_test.cc
+++ b/tests/decision/origin_test.cc
@@ -327,6 +327,24 @@
   BOOST_TEST((run.request.binding == binding));
 }
 
+BOOST_AUTO_TEST_CASE(LoopOfMovesEndsAsUnknown) {
+  OriginFixture fixture;
+  auto event = fixture.MakeCall(1, false);
+  event.binding = Binding{.gate = NodeOf(1)};
+  auto actions = fixture.Arrive(event);
+  int hops = 0;
+  for (auto sent = AllOf<SendAttempt>(actions); !sent.empty();
+       sent = AllOf<SendAttempt>(actions)) {
+    ++hops;
+    const Binding next = {.gate = NodeOf(1 + hops % 2)};
+    actions = fixture.Reply({.attempt = sent[0].request.attempt,
+                             .outcome = Outcome::kNotRun,
+                             .moved_to = next});
+  }
+  BOOST_TEST(hops == 4);
+  BOOST_TEST((Only<AnswerCaller>(actions).outcome == Outcome::kUnknown));
+}
+
 BOOST_AUTO_TEST_CASE(BindingOfAnUnknownAddressIsNotSpokenWith) {
   OriginFixture fixture;
   auto event = fixture.MakeCall(1, false);
