--- a/libraries/driver/node_driver.cc
+++ b/libraries/driver/node_driver.cc
@@ -30,6 +30,7 @@
     : io(io),
       strand(asio::make_strand(io)),
       settings(std::move(settings)),
+      // Zero stands for an incarnation that is not known yet.
       incarnation(this->random.Next() | 1),
       decisions({.self = this->settings.node,
                  .incarnation = this->incarnation,
@@ -384,8 +385,6 @@
 
 void NodeDriver::OnBackendReachable(bool reachable) {
   asio::post(this->strand, [this, reachable] {
-    Log(reachable ? LogEvent::kBackendUp : LogEvent::kBackendDown,
-        {{"address", this->settings.backend_server->ToString()}});
     this->Handle(decision::BackendReachable{.reachable = reachable});
   });
 }
--- a/libraries/driver/node_driver.h
+++ b/libraries/driver/node_driver.h
@@ -123,9 +123,9 @@
   asio::io_context& io;
   asio::strand<asio::io_context::executor_type> strand;
   NodeSettings settings;
-  std::uint64_t incarnation;
   MonotonicClock clock;
   SystemRandom random;
+  std::uint64_t incarnation;  // After `random`, which draws it.
   decision::Node decisions;
   RequestStore requests;
   PublishedState published;
