Tickets: Spread them by few ranked readers, digests and pulls

Every node read the platform by itself and heard nothing of the others.

Now two ranked readers per failure domain read (one holds a watch, the other polls, so that a watch that was cut silently is noticed), six candidates replace them within about a second, and everybody else hears of a change by a digest in a heartbeat and asks one peer for what it lacks. Heartbeats go to a bounded set of peers that all nodes compute alike from the tickets. A starting or thawed node asks others before it serves; a platform that lags can't take it back.

Ruled out: pushing the text itself along a tree (each dead node cuts off a branch), and to random peers (each text would arrive several times).

Heartbeat gains platform_age and leaving_hints. Node calls NoticeTime with each event, and leaves by itself only when a reader saw the list change while it ran; what a lagging list says of an earlier host at the address is left aside.

--- a/libraries/decision/events.h
+++ b/libraries/decision/events.h
@@ -89,6 +89,18 @@
 
 // --- Membership, tickets, lifetime. ---
 
+// A host that the platform lists as leaving, as a reader of the list saw it.
+struct LeavingHint {
+  NodeAddress node;
+  Duration listed_for{};  // Since a reader saw the list change.
+  Duration seen_age{};    // Since a reader last saw it listed.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->node, this->listed_for, this->seen_age);
+  }
+};
+
 struct Heartbeat {
   NodeAddress from;
   std::uint64_t incarnation = 0;
@@ -96,11 +108,14 @@
   LoadReport load;
   // Fingerprints convicted lately, with the time until each is forgiven.
   std::vector<std::pair<std::uint64_t, Duration>> convicted;
+  // Time since somebody saw the platform hold nothing newer than this state.
+  Duration platform_age = Duration::max();
+  std::vector<LeavingHint> leaving_hints;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->from, this->incarnation, this->state_digest, this->load,
-            this->convicted);
+            this->convicted, this->platform_age, this->leaving_hints);
   }
 };
 
--- /dev/null
+++ b/libraries/decision/heartbeat_peers.cc
@@ -0,0 +1,154 @@
+#include "libraries/decision/heartbeat_peers.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+namespace agaterun::decision {
+
+namespace {
+
+constexpr std::size_t kReaderCandidates = 6;
+constexpr std::size_t kOtherDomains = 4;
+
+// Places neighbouring addresses, which often share a rack, far apart.
+std::uint64_t Scatter(NodeAddress node) {
+  std::uint64_t mixed = (std::uint64_t{node.ip} << 16) | node.port;
+  mixed ^= mixed >> 31;
+  mixed *= 0x7fb5d329728ea185;
+  mixed ^= mixed >> 27;
+  mixed *= 0x81dadef4bc2dd44d;
+  return mixed ^ (mixed >> 33);
+}
+
+std::string DomainOf(std::string_view region, std::string_view domain) {
+  return std::string(region) + "/" + std::string(domain);
+}
+
+// Index of `node`, or where it would stand: a node that no ticket names takes
+// the place of its successor.
+std::size_t IndexIn(const std::vector<NodeAddress>& ring, NodeAddress node) {
+  const auto place = std::lower_bound(ring.begin(), ring.end(), node,
+                                      [](NodeAddress left, NodeAddress right) {
+                                        return Scatter(left) < Scatter(right);
+                                      });
+  return static_cast<std::size_t>(place - ring.begin()) % ring.size();
+}
+
+}  // namespace
+
+void HeartbeatPeers::Rebuild(const TicketState& state) {
+  this->peers.clear();
+  this->candidates.clear();
+  this->fleet.clear();
+  std::vector<Member> members;
+  for (const auto& [name, item] : state.items) {
+    if (!item.service) {
+      continue;
+    }
+    for (const auto& endpoint : item.service->endpoints) {
+      members.push_back(
+          {.node = endpoint.node,
+           .domain = DomainOf(endpoint.region, endpoint.failure_domain),
+           .service = item.service->name});
+    }
+  }
+  std::sort(members.begin(), members.end(),
+            [](const Member& left, const Member& right) {
+              return Scatter(left.node) < Scatter(right.node);
+            });
+  const auto own_domain =
+      DomainOf(this->options.region, this->options.failure_domain);
+  std::string own_service;
+  std::vector<NodeAddress> domain_ring;
+  for (const auto& member : members) {
+    if (member.node == this->options.self) {
+      own_service = member.service;
+    } else {
+      this->fleet.push_back(member.node);
+    }
+    if (member.domain == own_domain) {
+      domain_ring.push_back(member.node);
+    }
+  }
+  std::vector<NodeAddress> service_ring;
+  for (const auto& member : members) {
+    if (!own_service.empty() && member.service == own_service) {
+      service_ring.push_back(member.node);
+    }
+  }
+  this->AddRing(domain_ring, /*is_domain=*/true);
+  this->AddRing(service_ring, /*is_domain=*/false);
+  this->AddOtherDomains(members);
+  // The order of the ring is as good as any hash of its own, and the first in
+  // it are as far apart in addresses as the rest.
+  this->candidates.assign(
+      domain_ring.begin(),
+      domain_ring.begin() + static_cast<std::ptrdiff_t>(std::min(
+                                domain_ring.size(), kReaderCandidates)));
+  if (std::find(this->candidates.begin(), this->candidates.end(),
+                this->options.self) != this->candidates.end()) {
+    for (const auto node : this->candidates) {
+      this->AddPeer(node);
+    }
+  }
+}
+
+// Steps of 1, n^(1/3) and n^(2/3) both ways reach a domain of 240 in at most
+// about nine hops, in which no node hears more than six others. The members of
+// a service pass on little, so two steps are enough for them.
+void HeartbeatPeers::AddRing(const std::vector<NodeAddress>& ring,
+                             bool is_domain) {
+  if (ring.empty()) {
+    return;
+  }
+  const auto size = ring.size();
+  const auto index = IndexIn(ring, this->options.self);
+  const auto power = [&](double exponent) {
+    return static_cast<std::size_t>(
+        std::lround(std::pow(static_cast<double>(size), exponent)));
+  };
+  const std::vector<std::size_t> steps =
+      is_domain ? std::vector<std::size_t>{1, power(1.0 / 3), power(2.0 / 3)}
+                : std::vector<std::size_t>{1, power(1.0 / 2)};
+  this->AddPeer(ring[index]);
+  for (const auto step : steps) {
+    this->AddPeer(ring[(index + step) % size]);
+    this->AddPeer(ring[(index + size - step % size) % size]);
+  }
+}
+
+// The node with the same index in each other domain, so that links between two
+// domains meet as many nodes as there are, and no node has many.
+void HeartbeatPeers::AddOtherDomains(const std::vector<Member>& members) {
+  std::map<std::string, std::vector<NodeAddress>> domains;
+  for (const auto& member : members) {
+    domains[member.domain].push_back(member.node);
+  }
+  const auto own_name =
+      DomainOf(this->options.region, this->options.failure_domain);
+  const auto own = domains.find(own_name);
+  const auto index = own == domains.end() || own->second.empty()
+                         ? Scatter(this->options.self)
+                         : IndexIn(own->second, this->options.self);
+  auto next = domains.upper_bound(own_name);
+  for (std::size_t count = 0; count < std::min(kOtherDomains, domains.size());
+       ++count, ++next) {
+    if (next == domains.end()) {
+      next = domains.begin();
+    }
+    if (next->first != own_name) {
+      this->AddPeer(next->second[index % next->second.size()]);
+    }
+  }
+}
+
+void HeartbeatPeers::AddPeer(NodeAddress node) {
+  if (node != this->options.self &&
+      std::find(this->peers.begin(), this->peers.end(), node) ==
+          this->peers.end()) {
+    this->peers.push_back(node);
+  }
+}
+
+}  // namespace agaterun::decision
--- /dev/null
+++ b/libraries/decision/heartbeat_peers.h
@@ -0,0 +1,58 @@
+#ifndef LIBRARIES_DECISION_HEARTBEAT_PEERS_H_
+#define LIBRARIES_DECISION_HEARTBEAT_PEERS_H_
+
+#include <string>
+#include <vector>
+
+#include "libraries/base/node_address.h"
+#include "libraries/decision/ticket_state.h"
+
+namespace agaterun::decision {
+
+// Which nodes this one sends heartbeats to: a bounded number, whatever the
+// size of the fleet, computed alike on all nodes from the tickets alone.
+class HeartbeatPeers {
+ public:
+  struct Options {
+    NodeAddress self;
+    std::string region;
+    std::string failure_domain;
+  };
+
+  explicit HeartbeatPeers(Options options) : options(std::move(options)) {}
+
+  // Computes all lists anew from the endpoints that `state` names.
+  void Rebuild(const TicketState& state);
+
+  // Nodes that hear each heartbeat; this one not among them.
+  const std::vector<NodeAddress>& Peers() const { return this->peers; }
+
+  // Nodes of the own failure domain that may read the platform, best first;
+  // this one may be among them.
+  const std::vector<NodeAddress>& ReaderCandidates() const {
+    return this->candidates;
+  }
+
+  // All nodes that the tickets name, this one left out.
+  const std::vector<NodeAddress>& Fleet() const { return this->fleet; }
+
+ private:
+  struct Member {
+    NodeAddress node;
+    std::string domain;  // REGION/FAILURE_DOMAIN.
+    std::string service;
+  };
+
+  void AddRing(const std::vector<NodeAddress>& ring, bool is_domain);
+  void AddOtherDomains(const std::vector<Member>& members);
+  void AddPeer(NodeAddress node);
+
+  Options options;
+  std::vector<NodeAddress> peers;
+  std::vector<NodeAddress> candidates;
+  std::vector<NodeAddress> fleet;
+};
+
+}  // namespace agaterun::decision
+
+#endif  // LIBRARIES_DECISION_HEARTBEAT_PEERS_H_
--- a/libraries/decision/node.cc
+++ b/libraries/decision/node.cc
@@ -37,6 +37,7 @@
 }
 
 void Node::Handle(Instant now, const Event& event, Actions& actions) {
+  this->spread.NoticeTime(now, actions);
   std::visit(
       [&](const auto& concrete) { this->Dispatch(now, concrete, actions); },
       event);
@@ -134,6 +135,7 @@
                     Actions& actions) {
   this->spread.OnHeartbeat(now, event, actions);
   this->gate.OnConvicted(now, event.heartbeat.convicted);
+  this->StopWhenListed(now, actions);
 }
 
 void Node::Dispatch(Instant now, const DigestSeen& event, Actions& actions) {
@@ -168,10 +170,12 @@
                     const HostListReceived& event,
                     Actions& actions) {
   this->spread.OnHostList(now, event, actions);
-  for (const auto& host : event.hosts) {
-    if (host.node == this->options.self && host.leaving) {
-      this->Dispatch(now, StopRequested{}, actions);
-    }
+  this->StopWhenListed(now, actions);
+}
+
+void Node::StopWhenListed(Instant now, Actions& actions) {
+  if (this->spread.ListedAsLeaving()) {
+    this->Dispatch(now, StopRequested{}, actions);
   }
 }
 
--- a/libraries/decision/node.h
+++ b/libraries/decision/node.h
@@ -70,6 +70,9 @@
   void Dispatch(Instant now, const StopRequested& event, Actions& actions);
   void Dispatch(Instant now, const Tick& event, Actions& actions);
 
+  // Begins to leave once the platform lists this host as leaving.
+  void StopWhenListed(Instant now, Actions& actions);
+
   // Passes a changed state on to both sides.
   void SyncState(Instant now);
 
--- a/libraries/decision/ticket.cc
+++ b/libraries/decision/ticket.cc
@@ -38,17 +38,6 @@
   return XXH64(text.data(), text.size(), 0);
 }
 
-std::uint64_t DigestOf(const TicketState& state) {
-  Hasher hasher;
-  for (const auto& [name, item] : state.items) {
-    hasher.Add(name);
-    hasher.Add(item.number);
-    hasher.Add(item.ticket_hash);
-    hasher.Add(item.text_hash);
-  }
-  return hasher.Digest();
-}
-
 std::vector<TicketFault> ToTicketFaults(const IniFaults& faults) {
   std::vector<TicketFault> result;
   for (const auto& fault : faults) {
@@ -178,6 +167,28 @@
   return parsed;
 }
 
+std::uint64_t DigestOf(const std::vector<TicketItemVersion>& versions) {
+  Hasher hasher;
+  for (const auto& version : versions) {
+    hasher.Add(version.name);
+    hasher.Add(version.number);
+    hasher.Add(version.ticket_hash);
+    hasher.Add(version.text_hash);
+  }
+  return hasher.Digest();
+}
+
+std::vector<TicketItemVersion> VersionsOf(const TicketState& state) {
+  std::vector<TicketItemVersion> versions;
+  for (const auto& [name, item] : state.items) {
+    versions.push_back({.name = name,
+                        .number = item.number,
+                        .ticket_hash = item.ticket_hash,
+                        .text_hash = item.text_hash});
+  }
+  return versions;
+}
+
 std::shared_ptr<const TicketState> MergeTicketItems(
     const std::shared_ptr<const TicketState>& state,
     const std::vector<TicketItem>& items,
@@ -203,7 +214,7 @@
   if (!merged) {
     return state;
   }
-  merged->digest = DigestOf(*merged);
+  merged->digest = DigestOf(VersionsOf(*merged));
   return merged;
 }
 
--- a/libraries/decision/ticket.h
+++ b/libraries/decision/ticket.h
@@ -36,6 +36,12 @@
 tl::expected<TicketItem, std::vector<TicketFault>> ParseTicketItem(
     const TicketItemText& item);
 
+// The digest of a state that has just these versions, in the order of names.
+std::uint64_t DigestOf(const std::vector<TicketItemVersion>& versions);
+
+// Names and versions of all items of `state`, in the order of names.
+std::vector<TicketItemVersion> VersionsOf(const TicketState& state);
+
 // `state` with `items` merged in: per name the larger number stays, and of
 // equal numbers the larger ticket hash, then the larger text hash. Returns
 // `state` itself when nothing changed. `conflicts` gets the names with two
--- a/libraries/decision/ticket_spread.h
+++ b/libraries/decision/ticket_spread.h
@@ -4,12 +4,21 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "libraries/base/random.h"
 #include "libraries/decision/events.h"
+#include "libraries/decision/heartbeat_peers.h"
+#include "libraries/decision/learning.h"
+#include "libraries/decision/membership.h"
 #include "libraries/decision/peer_table.h"
+#include "libraries/decision/platform_schedule.h"
+#include "libraries/decision/ticket_pull.h"
+#include "libraries/decision/ticket_store.h"
 
 namespace agaterun::decision {
 
@@ -17,12 +26,16 @@
 // node ranks as a reader, hears the rest from peers, and heartbeats.
 class TicketSpread {
  public:
+  // Fingerprints with the time until each is forgiven.
+  using Convicted = std::vector<std::pair<std::uint64_t, Duration>>;
+
   struct Options {
     NodeAddress self;
     std::uint64_t incarnation = 0;
     std::string region;
     std::string failure_domain;
-    // Nodes to ask first, from the settings. May be empty.
+    // Nodes to ask first, from the settings. May be empty, and may name this
+    // node, which then reads the platform early when the others don't answer.
     std::vector<NodeAddress> seeds;
   };
 
@@ -30,6 +43,11 @@
   TicketSpread(Options options, PeerTable& peers, RandomSource& random);
 
   void Start(Instant now, Actions& actions);
+
+  // Notices that this node was frozen. Called first with every event of the
+  // node, so that nothing is decided by what was true before.
+  void NoticeTime(Instant now, Actions& actions);
+
   void OnHeartbeat(Instant now,
                    const HeartbeatReceived& event,
                    Actions& actions);
@@ -51,15 +69,14 @@
   // Sends due heartbeats, which carry `load` and `convicted`, and due reads.
   void OnTick(Instant now,
               const LoadReport& load,
-              const std::vector<std::pair<std::uint64_t, Duration>>& convicted,
+              const Convicted& convicted,
               Actions& actions);
 
-  // Sends a heartbeat to every peer at once, as on a planned stop.
-  void Announce(
-      Instant now,
-      const LoadReport& load,
-      const std::vector<std::pair<std::uint64_t, Duration>>& convicted,
-      Actions& actions);
+  // Sends a heartbeat to every node at once, as on a planned stop.
+  void Announce(Instant now,
+                const LoadReport& load,
+                const Convicted& convicted,
+                Actions& actions);
 
   // Earliest instant at which OnTick has work.
   std::optional<Instant> NextWake() const;
@@ -70,20 +87,69 @@
   }
 
   // False until this node has learned enough to serve: from peers, or from
-  // the platform when it is alone.
+  // the platform when it is alone. False again after it was frozen.
   bool Ready() const { return this->ready; }
 
+  // True when the platform's list turned to name this host as leaving while
+  // this process ran.
+  bool ListedAsLeaving() const { return this->membership.ListedAsLeaving(); }
+
+  ReaderRole Role() const { return this->role; }
+  // When the platform last had nothing newer than the state, as far as known.
+  std::optional<Instant> ConfirmedAt() const { return this->confirmed; }
+  const std::vector<NodeAddress>& HeartbeatTargets() const {
+    return this->graph.Peers();
+  }
+
  private:
-  // Merges checked items and publishes the state when it changed.
-  void Apply(const std::vector<TicketItemText>& items, Actions& actions);
+  // What a peer was last told, so that it is not told twice.
+  struct Told {
+    std::uint64_t digest = 0;
+    Instant instant{};
+  };
+
+  void OnDigest(Instant now,
+                NodeAddress peer,
+                std::uint64_t digest,
+                Actions& actions);
+  void Tell(Instant now, NodeAddress peer, Actions& actions);
+  void SendHeartbeats(Instant now, Actions& actions);
+  Heartbeat MakeHeartbeat(Instant now);
+  void Pull(Instant now, Actions& actions);
+  void Merge(Instant now,
+             const std::vector<TicketItemText>& items,
+             Actions& actions);
+  void Learn(Instant now, Actions& actions);
+  void BecomeReady(Instant now, Actions& actions);
+  void Publish(Instant now, Actions& actions);
+  void ReadPlatformWhenDue(Instant now, Actions& actions);
+  void ReportWaiting(Actions& actions);
+  std::uint64_t AdvertisedDigest() const;
 
   Options options;
   PeerTable& peers;
-  [[maybe_unused]] RandomSource& random;
-  std::shared_ptr<const TicketState> state;
+  RandomSource& random;
+  TicketStore store;
+  HeartbeatPeers graph;
+  Learning learning;
+  Membership membership;
+  PlatformSchedule schedule;
+  TicketPull pull;
+
+  std::shared_ptr<const TicketState> state;  // As published.
   bool ready = false;
-  std::uint64_t last_number = 0;
-  std::optional<Instant> next_read;
+  ReaderRole role = ReaderRole::kNone;
+  std::optional<Instant> confirmed;
+  std::optional<bool> platform_reached;
+  std::string reported_waiting;
+  std::set<std::uint64_t> seen_texts;  // Hashes of tickets read already.
+
+  LoadReport load;
+  Convicted convicted;
+  std::unordered_map<NodeAddress, Told> told;
+
+  Instant last_event{};
+  Instant next_heartbeat{};
 };
 
 }  // namespace agaterun::decision
--- /dev/null
+++ b/libraries/decision/ticket_store.cc
@@ -0,0 +1,184 @@
+#include "libraries/decision/ticket_store.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "libraries/decision/ticket.h"
+
+namespace agaterun::decision {
+
+namespace {
+
+constexpr std::size_t kFormerDigests = 128;
+constexpr std::size_t kReportedConflicts = 1024;
+// Versions of one name that wait for the rest of their tickets.
+constexpr std::size_t kWaitingVersions = 4;
+
+auto Rank(const TicketItem& item) {
+  return std::tie(item.number, item.ticket_hash, item.text_hash);
+}
+
+}  // namespace
+
+TicketStore::TicketStore() : state(std::make_shared<TicketState>()) {}
+
+TicketStore::MergeResult TicketStore::Merge(
+    const std::vector<TicketItemText>& items) {
+  MergeResult result;
+  std::vector<TicketItem> outdated;
+  for (const auto& text : items) {
+    auto item = ParseTicketItem(text);
+    if (!item) {
+      result.faults.push_back(text.name + ": " + item.error().front().message);
+      continue;
+    }
+    const auto known = this->state->items.find(item->name);
+    if (known != this->state->items.end() &&
+        Rank(known->second) >= Rank(*item)) {
+      outdated.push_back(std::move(*item));
+      continue;
+    }
+    this->waiting[item->name].push_back(std::move(*item));
+  }
+  auto ready = this->TakeWhole();
+  // Outdated items change nothing, but tell of conflicts.
+  ready.insert(ready.end(), std::make_move_iterator(outdated.begin()),
+               std::make_move_iterator(outdated.end()));
+  std::vector<std::string> conflicts;
+  const auto merged = MergeTicketItems(this->state, ready, conflicts);
+  for (auto& name : conflicts) {
+    const auto number = merged->items.find(name)->second.number;
+    if (this->reported_conflicts.size() < kReportedConflicts &&
+        this->reported_conflicts.emplace(name, number).second) {
+      result.conflicts.push_back(std::move(name));
+    }
+  }
+  if (merged != this->state) {
+    // A state only grows, so what it once was it covers for good. Forgetting
+    // the oldest costs a needless request at most.
+    this->former.push_back(this->state->digest);
+    if (this->former.size() > kFormerDigests) {
+      this->former.pop_front();
+    }
+    this->state = merged;
+    this->DropOutdated();
+    result.changed = true;
+  }
+  return result;
+}
+
+// Chooses per name the best version of which the whole ticket is there: each
+// sibling is chosen or in force with that number or a larger one. Leaving one
+// item out can leave others without their sibling, so it goes on until nothing
+// changes; each round passes over at least one version.
+std::vector<TicketItem> TicketStore::TakeWhole() {
+  std::map<std::string, std::size_t> chosen;
+  for (auto& [name, versions] : this->waiting) {
+    std::sort(versions.begin(), versions.end(),
+              [](const TicketItem& left, const TicketItem& right) {
+                return Rank(left) > Rank(right);
+              });
+    if (versions.size() > kWaitingVersions) {
+      versions.resize(kWaitingVersions);
+    }
+    chosen[name] = 0;
+  }
+  bool is_stable = false;
+  while (!is_stable) {
+    is_stable = true;
+    for (auto choice = chosen.begin(); choice != chosen.end();) {
+      const auto& versions = this->waiting[choice->first];
+      if (this->IsWhole(versions[choice->second], chosen)) {
+        ++choice;
+        continue;
+      }
+      is_stable = false;
+      if (++choice->second == versions.size()) {
+        choice = chosen.erase(choice);
+      }
+    }
+  }
+  std::vector<TicketItem> whole;
+  for (const auto& [name, index] : chosen) {
+    whole.push_back(this->waiting[name][index]);
+  }
+  return whole;
+}
+
+bool TicketStore::IsWhole(
+    const TicketItem& item,
+    const std::map<std::string, std::size_t>& chosen) const {
+  return std::all_of(
+      item.siblings.begin(), item.siblings.end(),
+      [&](const std::string& sibling) {
+        if (const auto choice = chosen.find(sibling);
+            choice != chosen.end() &&
+            this->waiting.at(sibling)[choice->second].number >= item.number) {
+          return true;
+        }
+        const auto in_force = this->state->items.find(sibling);
+        return in_force != this->state->items.end() &&
+               in_force->second.number >= item.number;
+      });
+}
+
+void TicketStore::DropOutdated() {
+  for (auto entry = this->waiting.begin(); entry != this->waiting.end();) {
+    const auto in_force = this->state->items.find(entry->first);
+    if (in_force != this->state->items.end()) {
+      std::erase_if(entry->second, [&](const TicketItem& item) {
+        return Rank(item) <= Rank(in_force->second);
+      });
+    }
+    entry = entry->second.empty() ? this->waiting.erase(entry) : ++entry;
+  }
+}
+
+std::uint64_t TicketStore::HighestNumber() const {
+  std::uint64_t highest = 0;
+  for (const auto& [name, item] : this->state->items) {
+    highest = std::max(highest, item.number);
+  }
+  return highest;
+}
+
+std::vector<TicketItemText> TicketStore::NewerThan(
+    const std::vector<TicketItemVersion>& have) const {
+  std::map<std::string, const TicketItemVersion*, std::less<>> known;
+  for (const auto& version : have) {
+    known[version.name] = &version;
+  }
+  std::vector<TicketItemText> newer;
+  for (const auto& [name, item] : this->state->items) {
+    if (const auto found = known.find(name);
+        found != known.end() &&
+        std::tie(found->second->number, found->second->ticket_hash,
+                 found->second->text_hash) >= Rank(item)) {
+      continue;
+    }
+    newer.push_back({.name = name,
+                     .number = item.number,
+                     .text = item.text,
+                     .ticket_hash = item.ticket_hash,
+                     .siblings = item.siblings});
+  }
+  return newer;
+}
+
+bool TicketStore::Lacks(const std::vector<TicketItemVersion>& have) const {
+  return std::any_of(have.begin(), have.end(),
+                     [&](const TicketItemVersion& version) {
+                       const auto known = this->state->items.find(version.name);
+                       return known == this->state->items.end() ||
+                              std::tie(version.number, version.ticket_hash,
+                                       version.text_hash) > Rank(known->second);
+                     });
+}
+
+bool TicketStore::Covers(std::uint64_t digest) const {
+  return digest == this->state->digest || digest == 0 ||
+         std::find(this->former.begin(), this->former.end(), digest) !=
+             this->former.end();
+}
+
+}  // namespace agaterun::decision
--- /dev/null
+++ b/tests/decision/spread_network.h
@@ -0,0 +1,262 @@
+#ifndef TESTS_DECISION_SPREAD_NETWORK_H_
+#define TESTS_DECISION_SPREAD_NETWORK_H_
+
+#include <functional>
+#include <memory>
+#include <queue>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "libraries/decision/node.h"
+#include "tests/decision/fake_configuration.h"
+
+namespace agaterun::decision {
+
+// Passes control messages between some nodes on virtual time, beside one
+// platform. Node I lives in failure domain I modulo `domains`.
+class SpreadNetwork {
+ public:
+  struct Options {
+    int nodes = 12;
+    int domains = 3;
+    int services = 3;
+    int seeds = 6;    // The first nodes.
+    double loss = 0;  // Of heartbeats.
+  };
+  struct Member {
+    NodeAddress address;
+    std::shared_ptr<SeededRandom> random;
+    std::shared_ptr<Node> node;  // Null when it does not run.
+    std::uint64_t life = 0;
+    Instant frozen_until{};
+    Instant wake{};
+    std::uint64_t number = 0;  // Highest in force; must never fall.
+    bool went_back = false;
+    std::vector<Report> reports;
+  };
+
+  explicit SpreadNetwork(Options options) : options(options) {
+    for (int index = 0; index < options.nodes; ++index) {
+      const auto place = static_cast<std::uint32_t>(index / options.domains);
+      const NodeAddress address{
+          .ip = 0x7f000001U + (this->Domain(index) << 16) + place,
+          .port = 7400};
+      this->members.push_back({.address = address});
+      this->index_of[address] = index;
+    }
+  }
+
+  std::uint32_t Domain(int index) const {
+    return static_cast<std::uint32_t>(index % this->options.domains);
+  }
+  Member& At(int index) { return this->members.at(std::size_t(index)); }
+
+  // A ticket that names all nodes, spread over the services.
+  std::string TicketText(std::uint64_t number, int slots = 80) const {
+    std::string text = "[ticket]\nnumber = " + std::to_string(number) + "\n";
+    for (int service = 0; service < this->options.services; ++service) {
+      const auto name = "s" + std::to_string(service);
+      text += "[route " + name + " all]\npath = /\n[service " + name +
+              "]\nconnections = 9\nslots = " + std::to_string(slots) + "\n";
+      for (int index = service; index < this->options.nodes;
+           index += this->options.services) {
+        text += "endpoint.e" + std::to_string(index) + " = " +
+                this->members[std::size_t(index)].address.ToString() + " r/" +
+                std::to_string(this->Domain(index)) + "\n";
+      }
+    }
+    return text;
+  }
+
+  // Starts the node, as another process when it ran before.
+  void Start(int index) {
+    auto& member = this->At(index);
+    Node::Options settings{.self = member.address,
+                           .incarnation = ++member.life,
+                           .region = "r",
+                           .failure_domain = std::to_string(Domain(index))};
+    for (int seed = 0; seed < this->options.seeds; ++seed) {
+      settings.seeds.push_back(this->At(seed).address);
+    }
+    member.random = std::make_shared<SeededRandom>(this->random.Next());
+    member.node = std::make_shared<Node>(settings, *member.random);
+    member.number = 0;
+    Actions actions;
+    member.node->Start(this->now, actions);
+    this->CarryOut(index, actions);
+  }
+  void StartAll() {
+    for (int index = 0; index < this->options.nodes; ++index) {
+      this->Start(index);
+    }
+  }
+  void Stop(int index) {
+    this->At(index).node.reset();
+    ++this->At(index).life;
+  }
+
+  void Publish(const std::string& text) {
+    this->platform.tickets.push_back(text);
+    for (const auto& watch : std::exchange(this->watches, {})) {
+      this->Schedule(this->now + 1ms, watch);
+    }
+  }
+
+  void Schedule(Instant instant, std::function<void()> work) {
+    this->queue.push({instant, this->sequence++, std::move(work)});
+  }
+  void RunUntil(Instant end) {
+    while (!this->queue.empty() && this->queue.top().instant <= end) {
+      const auto event = this->queue.top();
+      this->queue.pop();
+      this->now = event.instant;
+      event.work();
+    }
+    this->now = end;
+  }
+  void RunFor(Duration time) { this->RunUntil(this->now + time); }
+
+  // Runs until all running nodes serve under `number`; returns the time taken.
+  Duration RunUntilInForce(std::uint64_t number, Duration limit) {
+    const auto start = this->now;
+    while (this->now - start<limit&& this->Behind(number)> 0) {
+      this->RunFor(5ms);
+    }
+    return this->now - start;
+  }
+  // Running nodes that do not serve under `number` or a larger one.
+  int Behind(std::uint64_t number) const {
+    return Count([&](const Member& member) {
+      return !member.node->Spread().Ready() || member.number < number;
+    });
+  }
+  int Count(const std::function<bool(const Member&)>& predicate) const {
+    int count = 0;
+    for (const auto& member : this->members) {
+      count += member.node && predicate(member) ? 1 : 0;
+    }
+    return count;
+  }
+
+  // Hands an event to the node, later when it is frozen.
+  void Deliver(int index, std::uint64_t life, const Event& event) {
+    auto& member = this->At(index);
+    if (!member.node || member.life != life) {
+      return;
+    }
+    if (this->now < member.frozen_until) {
+      this->Schedule(member.frozen_until, [this, index, life, event] {
+        this->Deliver(index, life, event);
+      });
+      return;
+    }
+    Actions actions;
+    member.node->Handle(this->now, event, actions);
+    this->CarryOut(index, actions);
+  }
+  void Deliver(int index, const Event& event) {
+    this->Deliver(index, this->At(index).life, event);
+  }
+
+  std::vector<Member> members;
+  Instant now = 1000s;
+  FakeConfiguration platform;
+  std::function<bool(int)> reaches_platform = [](int) { return true; };
+  std::function<bool(int, int)> connected = [](int, int) { return true; };
+  std::function<void(int, const Action&)> on_action = [](int, const Action&) {};
+
+ private:
+  struct Item {
+    Instant instant;
+    std::uint64_t sequence;
+    std::function<void()> work;
+    bool operator<(const Item& other) const {
+      return std::pair(this->instant, this->sequence) >
+             std::pair(other.instant, other.sequence);
+    }
+  };
+
+  void CarryOut(int index, const Actions& actions) {
+    for (const auto& action : actions) {
+      this->on_action(index, action);
+      std::visit([&](const auto& one) { this->Perform(index, one); }, action);
+    }
+  }
+  void Send(int from, NodeAddress to, const Event& event) {
+    const auto target = this->index_of.find(to);
+    if (target == this->index_of.end() ||
+        !this->connected(from, target->second)) {
+      return;
+    }
+    const int index = target->second;
+    const bool is_near = this->Domain(from) == this->Domain(index);
+    this->Schedule(this->now + (is_near ? 300us : 1500us),
+                   [this, index, event] { this->Deliver(index, event); });
+  }
+  void Perform(int from, const SendHeartbeat& action) {
+    if (this->random.Unit() >= this->options.loss) {
+      this->Send(from, action.to, HeartbeatReceived{action.heartbeat});
+    }
+  }
+  void Perform(int from, const SendTicketItems& action) {
+    this->Send(from, action.to,
+               TicketItemsReceived{this->At(from).address, action.items});
+  }
+  void Perform(int from, const RequestTicketItems& action) {
+    this->Send(from, action.to,
+               TicketItemsWanted{this->At(from).address, action.have});
+  }
+  void Perform(int index, const WakeAt& action) {
+    this->At(index).wake = action.instant;
+    this->Schedule(action.instant,
+                   [this, index, action, life = this->At(index).life] {
+                     if (this->At(index).wake == action.instant) {
+                       this->Deliver(index, life, Tick{});
+                     }
+                   });
+  }
+  void Perform(int index, const Report& action) {
+    this->At(index).reports.push_back(action);
+  }
+  void Perform(int index, const PublishState& action) {
+    auto& member = this->At(index);
+    std::uint64_t highest = 0;
+    for (const auto& [name, item] : action.state->items) {
+      highest = std::max(highest, item.number);
+    }
+    member.went_back = member.went_back || highest < member.number;
+    member.number = highest;
+  }
+  template <typename Other>
+  void Perform(int /*index*/, const Other& /*action*/) {}
+
+  // Two calls: the host list and the tickets.
+  void Perform(int index, const ReadPlatform& action) {
+    this->platform.calls[this->now / 1s] += 2;
+    const bool reached = this->reaches_platform(index);
+    const auto answer = [this, index, life = this->At(index).life, reached,
+                         after = action.after_number] {
+      for (const auto& event : this->platform.Read(reached, after)) {
+        this->Deliver(index, life, event);
+      }
+    };
+    if (action.watch && reached &&
+        !this->platform.HasNews(action.after_number)) {
+      this->watches.emplace_back(answer);
+      return;
+    }
+    this->Schedule(this->now + (reached ? 3ms : 100ms), answer);
+  }
+
+  Options options;
+  SeededRandom random{1};
+  std::uint64_t sequence = 0;
+  std::priority_queue<Item> queue;
+  std::unordered_map<NodeAddress, int> index_of;
+  std::vector<std::function<void()>> watches;
+};
+
+}  // namespace agaterun::decision
+
+#endif  // TESTS_DECISION_SPREAD_NETWORK_H_
