--- a/libraries/caller/request_headers.cc
+++ b/libraries/caller/request_headers.cc
@@ -121,7 +121,7 @@
         "the binding is missing; send it in " + std::string(kBindingHeader));
   }
   return ReadService(
-      std::string_view(request.target).substr(kOutcomePath.size()), event);
+      std::string_view{request.target}.substr(kOutcomePath.size()), event);
 }
 
 Result<void> ReadTarget(const HttpRequest& request,
--- a/libraries/http/message_reader.h
+++ b/libraries/http/message_reader.h
@@ -48,7 +48,7 @@
     }
     for (const auto& field : this->parser->get()) {
       this->headers.push_back(
-          {std::string(field.name_string()), std::string(field.value())});
+          {field.name_string().to_string(), field.value().to_string()});
     }
     return used;
   }
--- a/libraries/http/request_parser.cc
+++ b/libraries/http/request_parser.cc
@@ -66,7 +66,7 @@
   if (const std::string* expect = FindHeader(headers, "Expect"); expect) {
     this->expects_continue = EqualsIgnoringCase(*expect, "100-continue");
   }
-  this->request.method = std::string(message.method_string());
+  this->request.method = message.method_string().to_string();
   this->request.target = *std::move(target);
   // HTTP/1.0 would need its own form of keep-alive; its connections end.
   this->keep_alive = is_1_1 && message.keep_alive();
--- a/tests/backend_server/backend_client_test.cc
+++ b/tests/backend_server/backend_client_test.cc
@@ -68,7 +68,7 @@
   return out << row.name;
 }
 
-const CutCase kCuts[] = {
+const CutCase cut_cases[] = {
     {"nothing", ""},
     {"nothing and a reset", "", true},
     {"cut head", "HTTP/1.1 200 OK\r\nContent-"},
@@ -112,7 +112,7 @@
 }
 
 BOOST_DATA_TEST_CASE(GivesNoPartOfAnAnswer,
-                     boost::unit_test::data::make(kCuts),
+                     boost::unit_test::data::make(cut_cases),
                      row) {
   Fixture fixture;
   fixture.Start(1);
--- a/tests/caller/caller_server_test.cc
+++ b/tests/caller/caller_server_test.cc
@@ -29,7 +29,7 @@
   return out << row.name;
 }
 
-const RejectedCase kRejected[] = {
+const RejectedCase rejected_cases[] = {
     {"smuggled length",
      "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
      "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /evil HTTP/1.1\r\n\r\n"},
@@ -66,7 +66,7 @@
 }
 
 BOOST_DATA_TEST_CASE(RejectsWithARemedyAndCloses,
-                     boost::unit_test::data::make(kRejected),
+                     boost::unit_test::data::make(rejected_cases),
                      row) {
   ServerFixture fixture({.limits = {.header_bytes = 1000, .body_bytes = 1000}});
   RawCaller caller = fixture.Connect();
--- a/tests/caller/request_headers_test.cc
+++ b/tests/caller/request_headers_test.cc
@@ -26,7 +26,7 @@
   return out << row.target;
 }
 
-const PathCase kPaths[] = {
+const PathCase path_cases[] = {
     {"/drafts/open/7", "/open/7"},
     {"/drafts/open?redeem=/x", "/open"},
     {"/drafts", "/"},
@@ -57,7 +57,7 @@
   return out << row.name;
 }
 
-const HeaderCase kRefused[] = {
+const HeaderCase refused_cases[] = {
     {"no number", {{"Agaterun-Timeout-Ms", "soon"}}, "whole milliseconds"},
     {"zero", {{"Agaterun-Timeout-Ms", "0"}}, "whole milliseconds"},
     {"negative", {{"Agaterun-Timeout-Ms", "-5"}}, "whole milliseconds"},
@@ -99,7 +99,7 @@
 BOOST_AUTO_TEST_SUITE(RequestHeadersTest)
 
 BOOST_DATA_TEST_CASE(FindsTheRoutePathThatServersSee,
-                     boost::unit_test::data::make(kPaths),
+                     boost::unit_test::data::make(path_cases),
                      row) {
   const auto call = ReadCall(1, Get(row.target), false);
   BOOST_TEST(call.has_value() == !row.path.empty());
@@ -110,7 +110,7 @@
 }
 
 BOOST_DATA_TEST_CASE(RefusesHeadersWithARemedy,
-                     boost::unit_test::data::make(kRefused),
+                     boost::unit_test::data::make(refused_cases),
                      row) {
   const auto call = ReadCall(1, Get("/drafts/a", row.headers), false);
   BOOST_REQUIRE(!call);
--- a/tests/http/response_parser_test.cc
+++ b/tests/http/response_parser_test.cc
@@ -25,7 +25,7 @@
   return out << row.name;
 }
 
-const ResponseCase kCases[] = {
+const ResponseCase response_cases[] = {
     {"length", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab",
      Verdict::kWhole, "ab"},
     {"chunks",
@@ -92,7 +92,7 @@
 BOOST_AUTO_TEST_SUITE(ResponseParserTest)
 
 BOOST_DATA_TEST_CASE(TellsWholeFromCutAndAmbiguous,
-                     boost::unit_test::data::make(kCases),
+                     boost::unit_test::data::make(response_cases),
                      row) {
   for (std::size_t size = 1; size <= row.bytes.size(); ++size) {
     ResponseParser parser({.header_bytes = 200, .body_bytes = 20});
