--- a/libraries/driver/node_driver.cc
+++ b/libraries/driver/node_driver.cc
@@ -222,7 +222,7 @@
 void NodeDriver::Perform(const decision::SendAttempt& action) {
   const auto& attempt = action.request.attempt;
   const auto found = this->requests.calls.find(attempt.call);
-  static const HttpRequest kEmptyRequest;
+  static const HttpRequest empty_request;
   const bool runs = action.request.kind == decision::VisitKind::kRun;
   if (runs && found == this->requests.calls.end()) {
     this->own_events.emplace_back(
@@ -231,7 +231,7 @@
   }
   if (action.to != this->settings.node) {
     this->links->SendVisit(action.to, action.request,
-                           runs ? *found->second.request : kEmptyRequest);
+                           runs ? *found->second.request : empty_request);
     return;
   }
   // This node's own backend server: no network between origin and gate.
