--- a/libraries/decision/attempt_sender.cc
+++ b/libraries/decision/attempt_sender.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "libraries/base/verify.h"
+#include "libraries/decision/call_end.h"
 
 namespace agaterun::decision {
 
@@ -73,13 +74,15 @@
 
 void AttemptSender::EndReplied(Instant now,
                                Call& call,
-                               const VisitReply& reply) {
+                               const AttemptReplied& event) {
+  const auto& reply = event.reply;
   const auto attempt = *call.attempt;
   call.attempt.reset();
   TakeBack(call, attempt.loan, reply.unspent_allowance);
   this->peers.ReportLoad(now, attempt.gate, reply.load);
-  if (reply.outcome == Outcome::kCompleted && attempt.kind == VisitKind::kRun) {
-    this->peers.AttemptCompleted(now, attempt.gate, now - attempt.sent);
+  if (IsWhole(event) && attempt.kind == VisitKind::kRun) {
+    this->peers.AttemptCompleted(now, attempt.gate, now - attempt.sent,
+                                 IsServerError(event));
   } else {
     this->peers.AttemptRefused(now, attempt.gate, reply.reason);
   }
--- a/libraries/decision/attempt_sender.h
+++ b/libraries/decision/attempt_sender.h
@@ -29,8 +29,8 @@
             NodeAddress gate,
             Actions& actions);
 
-  // Closes the accounts of the attempt that `reply` answers.
-  void EndReplied(Instant now, Call& call, const VisitReply& reply);
+  // Closes the accounts of the attempt that the event answers.
+  void EndReplied(Instant now, Call& call, const AttemptReplied& event);
 
   // Closes the accounts of an attempt that ended without a word. What was lent
   // to it is gone, unless it was never sent.
--- a/libraries/decision/call_end.cc
+++ b/libraries/decision/call_end.cc
@@ -28,4 +28,9 @@
   return event.reply.outcome == Outcome::kCompleted && event.answer != nullptr;
 }
 
+bool IsServerError(const AttemptReplied& event) {
+  constexpr int kFirstServerError = 500;  // RFC 9110, section 15.6.
+  return IsWhole(event) && event.answer->status >= kFirstServerError;
+}
+
 }  // namespace agaterun::decision
--- a/libraries/decision/call_end.h
+++ b/libraries/decision/call_end.h
@@ -24,6 +24,9 @@
 // True when the reply brought the whole answer that it speaks of.
 bool IsWhole(const AttemptReplied& event);
 
+// True when that answer is the backend server's word that it failed.
+bool IsServerError(const AttemptReplied& event);
+
 }  // namespace agaterun::decision
 
 #endif  // LIBRARIES_DECISION_CALL_END_H_
--- a/libraries/decision/call_runner.cc
+++ b/libraries/decision/call_runner.cc
@@ -136,9 +136,9 @@
   VERIFY(call.attempt);
   const auto attempt = *call.attempt;
   const auto& reply = event.reply;
-  this->sender.EndReplied(now, call, reply);
+  this->sender.EndReplied(now, call, event);
   if (attempt.kind == VisitKind::kRun) {
-    if (IsWhole(event) && call.service) {
+    if (IsWhole(event) && !IsServerError(event) && call.service) {
       this->picker.Observe(call.service->name, now - attempt.sent);
     }
     if (reply.next_binding && call.IsNested()) {
--- a/libraries/decision/endpoint_picker.cc
+++ b/libraries/decision/endpoint_picker.cc
@@ -88,7 +88,8 @@
   // grow with the number of endpoints.
   std::array<const Candidate*, 2> drawn = {};
   std::size_t count = 0;
-  for (int draw = 0; draw < kBlindDraws && count < drawn.size(); ++draw) {
+  const int draws = candidates.size() > drawn.size() ? kBlindDraws : 0;
+  for (int draw = 0; draw < draws && count < drawn.size(); ++draw) {
     const auto& candidate = candidates[this->random.Below(candidates.size())];
     if (&candidate != drawn[0] && this->MayUse(now, candidate, constraints)) {
       drawn[count++] = &candidate;
--- a/libraries/decision/endpoint_picker.h
+++ b/libraries/decision/endpoint_picker.h
@@ -41,6 +41,11 @@
       const std::shared_ptr<const ServiceState>& service,
       const Constraints& constraints);
 
+  // Memory for what is known of one endpoint, its peer state included.
+  static constexpr std::size_t BytesPerEndpoint() {
+    return sizeof(Candidate) + sizeof(NodeAddress) + sizeof(PeerState);
+  }
+
   // Notes how long a completed attempt of the service took.
   void Observe(const std::string& service, Duration elapsed);
 
--- a/libraries/decision/endpoint_score.cc
+++ b/libraries/decision/endpoint_score.cc
@@ -33,8 +33,12 @@
 
 constexpr double kRefusalWeight = 4;
 
-// Endpoints are compared down to this share of the typical latency. Broken
-// ones that answer errors at once gain no more than that.
+// An endpoint that answers nothing but errors costs this much more than one
+// without any. Where all fail alike, as after a bad release, nothing changes.
+constexpr double kFailureWeight = 20;
+
+// Endpoints are compared down to this share of the typical latency, so that
+// one which leaves out work gains no more than that.
 constexpr double kFastestOfTypical = 0.5;
 
 // Requests rise from a tenth over this time at a cold endpoint.
@@ -135,9 +139,13 @@
               Freshness(now, peer.load_reported, kReportHalfLife);
   const double refused =
       1 + kRefusalWeight * Freshness(now, peer.last_refused, kRefusalHalfLife);
+  const double failing =
+      1 + kFailureWeight * peer.failure_share *
+              Freshness(now, peer.latency_observed, kLatencyHalfLife);
   const double distance =
       kDistanceCost[static_cast<std::size_t>(basis.proximity)];
-  return latency * own * reported * refused * distance / Warmth(now, peer);
+  return latency * own * reported * refused * failing * distance /
+         Warmth(now, peer);
 }
 
 }  // namespace agaterun::decision
--- a/libraries/decision/peer_table.cc
+++ b/libraries/decision/peer_table.cc
@@ -9,6 +9,9 @@
 // Weight of the latest sample in the mean latency.
 constexpr double kLatencyWeight = 0.2;
 
+// Weight of the latest answer in the share of errors.
+constexpr double kFailureWeight = 0.1;
+
 void ObserveLatency(Instant now, PeerState& peer, Duration elapsed) {
   if (peer.latency == Duration{}) {
     peer.latency = elapsed;
@@ -78,11 +81,20 @@
 
 void PeerTable::AttemptCompleted(Instant now,
                                  NodeAddress address,
-                                 Duration elapsed) {
+                                 Duration elapsed,
+                                 bool is_error) {
   auto& peer = this->At(address);
   EndAttempt(peer);
   peer.losses = 0;
-  ObserveLatency(now, peer, elapsed);
+  peer.failure_share +=
+      ((is_error ? 1.0 : 0.0) - peer.failure_share) * kFailureWeight;
+  // A broken backend server often answers at once. Its time would make it
+  // look like the fastest of all.
+  if (!is_error) {
+    ObserveLatency(now, peer, elapsed);
+  } else {
+    peer.latency_observed = now;
+  }
 }
 
 void PeerTable::AttemptRefused(Instant now,
--- a/libraries/decision/peer_table.h
+++ b/libraries/decision/peer_table.h
@@ -28,6 +28,8 @@
   // Mean time of completed attempts, recent ones first; zero without any.
   Duration latency{};
   Instant latency_observed{};
+  // Mean share of completed attempts whose answer was a server's error.
+  double failure_share = 0;
   // Start of what may be a cold backend server: first heard, a new life of the
   // node, or the backend server is back.
   Instant cold_since{};
@@ -58,8 +60,12 @@
   // Notes that an attempt of this node left for the peer.
   void AttemptStarted(NodeAddress address);
 
-  // Notes that the peer completed an attempt after `elapsed`.
-  void AttemptCompleted(Instant now, NodeAddress address, Duration elapsed);
+  // Notes that the peer completed an attempt after `elapsed`; `is_error` tells
+  // that the answer was a server's error.
+  void AttemptCompleted(Instant now,
+                        NodeAddress address,
+                        Duration elapsed,
+                        bool is_error);
 
   // Notes the peer's word that it did not complete an attempt.
   void AttemptRefused(Instant now, NodeAddress address, Reason reason);
