Decision: Avoid peers that say nothing while attempts wait there

A failure domain that is cut off takes attempts without a word until their deadlines; only broken connections counted as losses.

--- a/benchmarks/routing_simulation.h
+++ b/benchmarks/routing_simulation.h
@@ -36,6 +36,7 @@
   kLyingSlow,     // The same, and it takes 5 times as long.
   kFailsFast,     // One endpoint answers a useless error at once.
   kColdThird,     // A third restarts at once and is cold.
+  kCutOff,        // One failure domain is cut off for four seconds.
   kOneDomainHot,  // All requests come from one failure domain.
 };
 
@@ -46,6 +47,7 @@
     EnumName<RoutingCase>{RoutingCase::kLyingSlow, "lying-slow"},
     EnumName<RoutingCase>{RoutingCase::kFailsFast, "fails-fast"},
     EnumName<RoutingCase>{RoutingCase::kColdThird, "cold-third"},
+    EnumName<RoutingCase>{RoutingCase::kCutOff, "cut-off"},
     EnumName<RoutingCase>{RoutingCase::kOneDomainHot, "one-domain-hot"},
 };
 
@@ -100,7 +102,8 @@
   static constexpr Duration kHeartbeat = 200ms;
   static constexpr Duration kStart = 3s;  // Not measured before.
   static constexpr Duration kEnd = 13s;
-  static constexpr Duration kFault = 5s;  // The cold restart.
+  static constexpr Duration kFault = 5s;   // The cold restart.
+  static constexpr Duration kHealed = 9s;  // The end of the cut.
   static constexpr Duration kWarmUp = 3s;
   static constexpr int kFaulty = 0;
 
@@ -139,6 +142,12 @@
     return origin % kDomains == endpoint % kDomains ? kNear : kFar;
   }
   bool IsFaulty(int endpoint) const;
+  // True while nothing passes between the two.
+  bool IsCut(int origin, int endpoint) const {
+    const bool crosses = (origin % kDomains == 0) != (endpoint % kDomains == 0);
+    return this->options.fault == RoutingCase::kCutOff && crosses &&
+           this->time.Now() >= kFault && this->time.Now() < kHealed;
+  }
 
   void ScheduleArrival(int origin);
   void ScheduleHeartbeats();
@@ -211,6 +220,7 @@
 inline bool RoutingSimulation::IsFaulty(int endpoint) const {
   switch (this->options.fault) {
     case RoutingCase::kNormal:
+    case RoutingCase::kCutOff:
     case RoutingCase::kOneDomainHot:
       return false;
     case RoutingCase::kColdThird:
@@ -243,8 +253,11 @@
 
 inline void RoutingSimulation::ScheduleHeartbeats() {
   for (int endpoint = 0; endpoint < kEndpoints; ++endpoint) {
-    for (auto& origin : this->origins) {
-      origin->peers.ReportHeartbeat(
+    for (int number = 0; number < kOrigins; ++number) {
+      if (this->IsCut(number, endpoint)) {
+        continue;
+      }
+      this->origins[static_cast<std::size_t>(number)]->peers.ReportHeartbeat(
           this->time.Now(),
           {.from = AddressOf(endpoint),
            .incarnation =
@@ -324,7 +337,7 @@
   ++request->under_way;
   this->open.push_back(attempt);
   this->origins[static_cast<std::size_t>(request->origin)]
-      ->peers.AttemptStarted(AddressOf(endpoint));
+      ->peers.AttemptStarted(this->time.Now(), AddressOf(endpoint));
   const auto distance = this->DistanceOf(request->origin, endpoint);
   if (request->arrived >= kStart) {
     ++this->result.attempts;
@@ -343,7 +356,8 @@
 
 inline void RoutingSimulation::Reach(const AttemptPointer& attempt) {
   auto& endpoint = this->endpoints[static_cast<std::size_t>(attempt->endpoint)];
-  if (attempt->cancelled) {
+  if (attempt->cancelled ||
+      this->IsCut(attempt->request->origin, attempt->endpoint)) {
     return;
   }
   if (this->options.fault == RoutingCase::kFailsFast &&
@@ -387,7 +401,8 @@
 
 inline void RoutingSimulation::Take(const AttemptPointer& attempt,
                                     bool completed) {
-  if (attempt->cancelled) {
+  if (attempt->cancelled ||
+      this->IsCut(attempt->request->origin, attempt->endpoint)) {
     return;
   }
   auto& request = *attempt->request;
--- a/libraries/decision/attempt_sender.cc
+++ b/libraries/decision/attempt_sender.cc
@@ -45,7 +45,7 @@
   if (kind != VisitKind::kIssueBinding) {
     call.outcome.AttemptSent();
   }
-  this->peers.AttemptStarted(gate);
+  this->peers.AttemptStarted(now, gate);
   auto request = call.request;
   request.attempt = AttemptId{.origin = this->options.self,
                               .incarnation = this->options.incarnation,
--- a/libraries/decision/endpoint_score.cc
+++ b/libraries/decision/endpoint_score.cc
@@ -22,6 +22,13 @@
 // A refusal marks an endpoint as full for this long.
 constexpr Duration kRefusalTrusted = 100ms;
 
+// A peer that says nothing for this long while attempts wait there, and for
+// this many times its latency, may be cut off. It still gets what no other
+// endpoint can take.
+constexpr Duration kShortestSilence = 250ms;
+constexpr int kSilentLatencies = 8;
+constexpr double kSilenceCost = 50;
+
 // Half-lives of what was told and of what was observed.
 constexpr Duration kReportHalfLife = 200ms;
 constexpr Duration kLatencyHalfLife = 2s;
@@ -84,6 +91,13 @@
   return std::min(1.0, use);
 }
 
+bool IsSilent(Instant now, const PeerState& peer) {
+  return peer.in_flight > 0 &&
+         now - peer.waiting_since >
+             std::max<Duration>(kShortestSilence,
+                                kSilentLatencies * peer.latency);
+}
+
 double Warmth(Instant now, const PeerState& peer) {
   if (peer.cold_since == Instant{}) {
     return kColdShare;
@@ -142,9 +156,10 @@
   const double failing =
       1 + kFailureWeight * peer.failure_share *
               Freshness(now, peer.latency_observed, kLatencyHalfLife);
+  const double silent = IsSilent(now, peer) ? kSilenceCost : 1;
   const double distance =
       kDistanceCost[static_cast<std::size_t>(basis.proximity)];
-  return latency * own * reported * refused * failing * distance /
+  return latency * own * reported * refused * failing * silent * distance /
          Warmth(now, peer);
 }
 
--- a/libraries/decision/peer_table.cc
+++ b/libraries/decision/peer_table.cc
@@ -12,6 +12,12 @@
 // Weight of the latest answer in the share of errors.
 constexpr double kFailureWeight = 0.1;
 
+// Losses within this time have one cause.
+constexpr Duration kOneLoss = 20ms;
+
+// A peer that said nothing for less may just be slow.
+constexpr Duration kShortestSilence = 250ms;
+
 void ObserveLatency(Instant now, PeerState& peer, Duration elapsed) {
   if (peer.latency == Duration{}) {
     peer.latency = elapsed;
@@ -22,6 +28,14 @@
   peer.latency_observed = now;
 }
 
+void CountLoss(Instant now, PeerState& peer) {
+  // Many attempts are lost together when a connection breaks: one loss.
+  if (peer.losses == 0 || now - peer.last_loss > kOneLoss) {
+    ++peer.losses;
+    peer.last_loss = now;
+  }
+}
+
 void EndAttempt(PeerState& peer) {
   VERIFY(peer.in_flight > 0);
   --peer.in_flight;
@@ -45,6 +59,7 @@
     peer.cold_since = now;
   }
   peer.last_heard = now;
+  peer.waiting_since = now;
 }
 
 void PeerTable::ReportLoad(Instant now,
@@ -75,8 +90,12 @@
   return is_new;
 }
 
-void PeerTable::AttemptStarted(NodeAddress address) {
-  ++this->At(address).in_flight;
+void PeerTable::AttemptStarted(Instant now, NodeAddress address) {
+  auto& peer = this->At(address);
+  if (peer.in_flight == 0) {
+    peer.waiting_since = now;
+  }
+  ++peer.in_flight;
 }
 
 void PeerTable::AttemptCompleted(Instant now,
@@ -113,8 +132,7 @@
 void PeerTable::AttemptLost(Instant now, NodeAddress address) {
   auto& peer = this->At(address);
   EndAttempt(peer);
-  ++peer.losses;
-  peer.last_loss = now;
+  CountLoss(now, peer);
 }
 
 void PeerTable::AttemptAbandoned(Instant now,
@@ -127,6 +145,9 @@
   if (elapsed > peer.latency) {
     ObserveLatency(now, peer, elapsed);
   }
+  if (elapsed >= kShortestSilence && peer.last_heard < now - elapsed) {
+    CountLoss(now, peer);
+  }
 }
 
 }  // namespace agaterun::decision
--- a/libraries/decision/peer_table.h
+++ b/libraries/decision/peer_table.h
@@ -22,7 +22,9 @@
   bool listed_as_leaving = false;
   // Attempts of this node that are under way there.
   int in_flight = 0;
-  // Attempts lost without a word since the last answer to one.
+  // Since when an attempt waits there without any word from the peer.
+  Instant waiting_since{};
+  // Times that attempts were lost without a word since the last answer to one.
   int losses = 0;
   Instant last_loss{};
   // Mean time of completed attempts, recent ones first; zero without any.
@@ -58,7 +60,7 @@
   bool ReportHeartbeat(Instant now, const Heartbeat& heartbeat);
 
   // Notes that an attempt of this node left for the peer.
-  void AttemptStarted(NodeAddress address);
+  void AttemptStarted(Instant now, NodeAddress address);
 
   // Notes that the peer completed an attempt after `elapsed`; `is_error` tells
   // that the answer was a server's error.
@@ -73,7 +75,8 @@
   // Notes that an attempt ended without a word.
   void AttemptLost(Instant now, NodeAddress address);
 
-  // Notes that this node gave up an attempt after `elapsed`.
+  // Notes that this node gave up an attempt after `elapsed`. Counts as lost
+  // when the peer said nothing all the while.
   void AttemptAbandoned(Instant now, NodeAddress address, Duration elapsed);
 
   const std::unordered_map<NodeAddress, PeerState>& All() const {
