--- /dev/null
+++ b/tests/node/frame_fuzz_test.cc
@@ -0,0 +1,212 @@
+// Seeded random bytes for all that decodes what other hosts send.
+// AGATERUN_FUZZ_INPUTS is the number of inputs of each test.
+#include <boost/test/unit_test.hpp>
+#include <cstdlib>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "libraries/base/random.h"
+#include "libraries/node/frame_messages.h"
+#include "libraries/node/frame_reader.h"
+#include "tests/node/raw_peer.h"
+#include "tests/node/test_nodes.h"
+
+namespace agaterun::node {
+
+namespace {
+
+constexpr std::uint64_t kSeed = 20260731;
+constexpr std::uint64_t kDefaultInputs = 20'000;
+constexpr std::size_t kPayloadLimit = 4096;
+constexpr int kMostMutations = 6;
+
+std::uint64_t InputCount() {
+  const char* text = std::getenv("AGATERUN_FUZZ_INPUTS");
+  return text == nullptr ? kDefaultInputs : std::strtoull(text, nullptr, 10);
+}
+
+std::uint64_t InputsPerKind() {
+  return InputCount() / kFrameKindNames.size() + 1;
+}
+
+// Encodes again what decoded; nothing when the payload was refused.
+using Again = std::function<std::optional<std::string>(std::string_view)>;
+
+template <class Decode, class Encode>
+Again DecodeAndEncode(Decode decode, Encode encode) {
+  return [decode, encode](std::string_view bytes) {
+    const auto message = decode(bytes);
+    return message ? std::optional(
+                         encode(*message).bytes.substr(FrameHeader::kBytes))
+                   : std::nullopt;
+  };
+}
+
+struct Codec {
+  FrameKind kind;
+  std::string valid;  // A payload with all optional parts.
+  Again again;
+};
+
+decision::VisitRequest FullVisit() {
+  decision::VisitRequest visit;
+  visit.attempt = {.origin = {.ip = 1, .port = 2}, .incarnation = 3, .call = 4};
+  visit.service = "drafts";
+  visit.route = "open";
+  visit.remaining = 1s;
+  visit.share = "team";
+  visit.binding = decision::Binding{.incarnation = 9, .sequence = 8};
+  visit.moved_to = decision::Binding{.incarnation = 7, .sequence = 6};
+  return visit;
+}
+
+decision::VisitReply FullReply() {
+  auto reply = ReplyTo(FullVisit());
+  reply.thresholds = {{"ledger", {}}, {"vault", {}}};
+  reply.next_binding = decision::Binding{.sequence = 5};
+  return reply;
+}
+
+std::string PayloadOf(const OutgoingFrame& frame) {
+  return frame.bytes.substr(FrameHeader::kBytes);
+}
+
+std::vector<Codec> AllCodecs() {
+  const HttpRequest request{.method = "PUT",
+                            .target = "/x",
+                            .headers = {{"a", "b"}, {"c", "d"}},
+                            .body = "body"};
+  return {
+      {FrameKind::kGreeting,
+       PayloadOf(EncodeGreeting({.from = {.ip = 1, .port = 2}})),
+       DecodeAndEncode(DecodeGreeting, EncodeGreeting)},
+      {FrameKind::kVisit, PayloadOf(EncodeVisit(FullVisit(), request)),
+       DecodeAndEncode(DecodeVisit,
+                       [](const VisitMessage& message) {
+                         return EncodeVisit(message.visit, message.request);
+                       })},
+      {FrameKind::kCancel, PayloadOf(EncodeCancel(FullVisit().attempt)),
+       DecodeAndEncode(DecodeCancel, EncodeCancel)},
+      {FrameKind::kReply, PayloadOf(EncodeReply(FullReply(), AnswerWith("x"))),
+       DecodeAndEncode(DecodeReply,
+                       [](const ReplyMessage& message) {
+                         return EncodeReply(message.reply, message.answer);
+                       })},
+      {FrameKind::kHeartbeat,
+       PayloadOf(EncodeHeartbeat({.convicted = {{1, 1s}, {2, 2s}}})),
+       DecodeAndEncode(DecodeHeartbeat, EncodeHeartbeat)},
+      {FrameKind::kTicketItems,
+       PayloadOf(EncodeTicketItems({{"a", 1, "b"}, {"c", 2, "d"}})),
+       DecodeAndEncode(DecodeTicketItems, EncodeTicketItems)},
+      {FrameKind::kTicketItemsWanted,
+       PayloadOf(EncodeTicketItemsWanted({{"a", 1, 2}, {"c", 2, 3}})),
+       DecodeAndEncode(DecodeTicketItemsWanted, EncodeTicketItemsWanted)},
+  };
+}
+
+std::string RandomBytes(SeededRandom& random, std::size_t most) {
+  std::string bytes(random.Below(most + 1), '\0');
+  for (auto& byte : bytes) {
+    byte = static_cast<char>(random.Next());
+  }
+  return bytes;
+}
+
+void MutateOnce(SeededRandom& random, std::string& bytes) {
+  const auto offset = random.Below(bytes.size() + 1);
+  switch (random.Below(5)) {
+    case 0:
+      bytes.insert(offset, RandomBytes(random, 4));
+      return;
+    case 1:
+      bytes.erase(offset, random.Below(8));
+      return;
+    case 2:
+      bytes.replace(offset, 4, "\xff\xff\xff\xff");
+      return;
+    default:
+      if (offset < bytes.size()) {
+        bytes[offset] = static_cast<char>(random.Next());
+      }
+      return;
+  }
+}
+
+std::string Mutated(SeededRandom& random, std::string bytes) {
+  const auto mutations = random.Below(kMostMutations) + 1;
+  for (std::uint64_t count = 0; count < mutations; ++count) {
+    MutateOnce(random, bytes);
+  }
+  return bytes;
+}
+
+// Feeds `stream` in pieces of random size and counts the frames taken.
+std::size_t FeedInPieces(SeededRandom& random, std::string_view stream) {
+  std::size_t frames = 0;
+  FrameReader reader(kPayloadLimit);
+  const auto count = [&](const FrameHeader& header, std::string_view payload) {
+    BOOST_REQUIRE(payload.size() == header.payload_bytes);
+    BOOST_REQUIRE(payload.size() <= kPayloadLimit);
+    ++frames;
+    return Result<void>();
+  };
+  while (!stream.empty()) {
+    const auto piece = stream.substr(0, random.Below(100) + 1);
+    stream.remove_prefix(piece.size());
+    if (!reader.Feed(piece, count)) {
+      break;
+    }
+  }
+  return frames;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(FrameFuzzTest)
+
+// What decodes has exactly one encoding, so nothing was skipped or made up.
+BOOST_AUTO_TEST_CASE(PayloadsDecodeToWhatTheyEncodeOrAreRefused) {
+  SeededRandom random(kSeed);
+  for (const auto& codec : AllCodecs()) {
+    BOOST_REQUIRE((codec.again(codec.valid) == codec.valid));
+    std::uint64_t taken = 0;
+    for (std::uint64_t input = 0; input < InputsPerKind(); ++input) {
+      const auto payload = input % 4 == 0 ? RandomBytes(random, 200)
+                                          : Mutated(random, codec.valid);
+      if (const auto again = codec.again(payload); again) {
+        ++taken;
+        BOOST_REQUIRE((*again == payload));
+      }
+    }
+    BOOST_TEST_MESSAGE(NameOf(kFrameKindNames, codec.kind)
+                       << ": " << taken << " of " << InputsPerKind()
+                       << " decoded, seed " << kSeed);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(DamagedStreamsGiveNoDamagedFrame) {
+  SeededRandom random(kSeed + 1);
+  for (const auto& codec : AllCodecs()) {
+    const auto frame = FrameAround(codec.kind, codec.valid);
+    BOOST_REQUIRE(FeedInPieces(random, frame + frame + frame) == 3U);
+    for (std::uint64_t input = 0; input < InputsPerKind(); ++input) {
+      const auto damaged = Mutated(random, frame);
+      const auto frames = FeedInPieces(random, frame + damaged + frame);
+      // A mutation can leave the frame as it was, or add bytes behind it.
+      const auto intact = damaged == frame ? 2U : 1U;
+      BOOST_REQUIRE(frames == 1U + (damaged.starts_with(frame) ? intact : 0U));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(RandomStreamsGiveNoFrame) {
+  SeededRandom random(kSeed + 2);
+  for (std::uint64_t input = 0; input < InputCount(); ++input) {
+    BOOST_REQUIRE(FeedInPieces(random, RandomBytes(random, 300)) == 0U);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace agaterun::node
--- /dev/null
+++ b/tests/node/hostile_gate_test.cc
@@ -0,0 +1,284 @@
+// What an origin makes of a gate that fails in the middle of a call.
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <ostream>
+
+#include "libraries/node/frame_messages.h"
+#include "tests/node/raw_peer.h"
+#include "tests/node/test_nodes.h"
+
+namespace agaterun::node {
+
+namespace {
+
+// How the visit under test ends at the origin.
+enum class End { kReply, kLostUnsent, kLostSent };
+
+// What the gate does after it read the greeting and two visits, 1 and 2.
+struct GateFault {
+  const char* name;
+  End first;
+  End second;
+  std::function<void(RawPeer& gate, const TestNode& origin)> act;
+};
+
+std::ostream& operator<<(std::ostream& stream, const GateFault& fault) {
+  return stream << fault.name;
+}
+
+std::string ReplyBytes(const TestNode& origin,
+                       decision::CallId call,
+                       const std::string& body) {
+  return Sealed(EncodeReply(ReplyTo(origin.Visit(call)), AnswerWith(body)));
+}
+
+const GateFault gate_faults[] = {
+    {"no reply, closed", End::kLostSent, End::kLostSent,
+     [](RawPeer&, const TestNode&) {}},
+    {"first answered, closed", End::kReply, End::kLostSent,
+     [](RawPeer& gate, const TestNode& origin) {
+       gate.Send(ReplyBytes(origin, 1, "body 1"));
+     }},
+    {"answered backwards", End::kReply, End::kReply,
+     [](RawPeer& gate, const TestNode& origin) {
+       gate.Send(ReplyBytes(origin, 2, "body 2") +
+                 ReplyBytes(origin, 1, "body 1"));
+     }},
+    {"answered twice", End::kReply, End::kReply,
+     [](RawPeer& gate, const TestNode& origin) {
+       gate.Send(
+           ReplyBytes(origin, 1, "body 1") + ReplyBytes(origin, 1, "other") +
+           ReplyBytes(origin, 2, "body 2") + ReplyBytes(origin, 1, "other"));
+     }},
+    {"reply to a visit of nobody", End::kReply, End::kLostSent,
+     [](RawPeer& gate, const TestNode& origin) {
+       gate.Send(ReplyBytes(origin, 99, "other") +
+                 ReplyBytes(origin, 1, "body 1"));
+     }},
+    {"reply to an older incarnation", End::kLostSent, End::kLostSent,
+     [](RawPeer& gate, const TestNode& origin) {
+       auto reply = ReplyTo(origin.Visit(1));
+       reply.attempt.incarnation -= 1;
+       gate.Send(Sealed(EncodeReply(reply, AnswerWith("other"))));
+     }},
+    {"reply to another try of the call", End::kLostSent, End::kLostSent,
+     [](RawPeer& gate, const TestNode& origin) {
+       auto reply = ReplyTo(origin.Visit(1));
+       reply.attempt.number += 1;
+       gate.Send(Sealed(EncodeReply(reply, AnswerWith("other"))));
+     }},
+    {"answer cut", End::kLostSent, End::kLostSent,
+     [](RawPeer& gate, const TestNode& origin) {
+       const auto reply = ReplyBytes(origin, 1, std::string(5000, 'a'));
+       gate.Send(reply.substr(0, 4000));
+     }},
+    {"answer with a flipped bit", End::kLostSent, End::kLostSent,
+     [](RawPeer& gate, const TestNode& origin) {
+       auto reply = ReplyBytes(origin, 1, std::string(5000, 'a'));
+       reply[4000] = 'b';
+       gate.Send(reply);
+     }},
+    {"answer with an impossible status", End::kLostSent, End::kLostSent,
+     [](RawPeer& gate, const TestNode& origin) {
+       auto answer = std::make_shared<HttpResponse>();
+       answer->status = -1;
+       gate.Send(Sealed(EncodeReply(ReplyTo(origin.Visit(1)), answer)));
+     }},
+    {"outcome out of range", End::kLostSent, End::kLostSent,
+     [](RawPeer& gate, const TestNode& origin) {
+       auto reply = ReplyTo(origin.Visit(1));
+       reply.outcome = static_cast<decision::Outcome>(3);
+       gate.Send(Sealed(EncodeReply(reply, nullptr)));
+     }},
+    {"garbage after a reply", End::kReply, End::kLostSent,
+     [](RawPeer& gate, const TestNode& origin) {
+       gate.Send(ReplyBytes(origin, 1, "body 1") + std::string(100, '?') +
+                 ReplyBytes(origin, 2, "body 2"));
+     }},
+    {"a visit in place of a reply", End::kLostSent, End::kLostSent,
+     [](RawPeer& gate, const TestNode& origin) {
+       gate.Send(Sealed(EncodeVisit(origin.Visit(1), {})));
+     }},
+};
+
+void CheckEnd(const Heard& heard, decision::CallId call, End expected) {
+  int replies = 0;
+  int unsent = 0;
+  int sent = 0;
+  for (const auto& [reply, answer] : heard.replies) {
+    if (reply.attempt.call == call) {
+      ++replies;
+      BOOST_TEST(answer->body == "body " + std::to_string(call));
+    }
+  }
+  for (const auto& lost : heard.lost) {
+    if (lost.attempt.call == call) {
+      ++(lost.sent ? sent : unsent);
+    }
+  }
+  BOOST_TEST(replies == (expected == End::kReply ? 1 : 0));
+  BOOST_TEST(unsent == (expected == End::kLostUnsent ? 1 : 0));
+  BOOST_TEST(sent == (expected == End::kLostSent ? 1 : 0));
+}
+
+bool HasEnded(const Heard& heard, std::size_t visits) {
+  return heard.replies.size() + heard.lost.size() >= visits;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(HostileGateTest)
+
+BOOST_DATA_TEST_CASE(EachVisitEndsOnceAndTruly,
+                     boost::unit_test::data::make(gate_faults),
+                     fault) {
+  IoThreads threads;
+  TestNode origin(threads.io);
+  RawGate listener;
+  origin.links->SendVisit(listener.Address(), origin.Visit(1), {});
+  origin.links->SendVisit(listener.Address(), origin.Visit(2), {});
+  {
+    RawPeer gate(listener.Accept());
+    for (int frame = 0; frame < 3; ++frame) {
+      BOOST_REQUIRE(!gate.ReceiveFrame().empty());
+    }
+    fault.act(gate, origin);
+  }
+  BOOST_REQUIRE(origin.observer.WaitFor(
+      [](const Heard& heard) { return HasEnded(heard, 2); }));
+  BOOST_TEST(Eventually([&] { return origin.links->ConnectionCount() == 0; }));
+  const auto heard = origin.observer.Snapshot();
+  CheckEnd(heard, 1, fault.first);
+  CheckEnd(heard, 2, fault.second);
+}
+
+BOOST_AUTO_TEST_CASE(ReplyOfAnotherGateFindsNoVisit) {
+  IoThreads threads;
+  TestNode origin(threads.io);
+  RawGate right;
+  RawGate wrong;
+  origin.links->SendVisit(right.Address(), origin.Visit(1), {});
+  origin.links->SendVisit(wrong.Address(), origin.Visit(2), {});
+  RawPeer right_gate(right.Accept());
+  RawPeer wrong_gate(wrong.Accept());
+  wrong_gate.Send(ReplyBytes(origin, 1, "swapped"));
+  BOOST_REQUIRE(Eventually(
+      [&] { return origin.links->Counters().replies_dropped == 1; }));
+  right_gate.Send(ReplyBytes(origin, 1, "body 1"));
+  BOOST_REQUIRE(origin.observer.WaitFor(
+      [](const Heard& heard) { return HasEnded(heard, 1); }));
+  CheckEnd(origin.observer.Snapshot(), 1, End::kReply);
+}
+
+BOOST_AUTO_TEST_CASE(ReplyAfterAReconnectFindsNoVisit) {
+  IoThreads threads;
+  TestNode origin(threads.io);
+  RawGate listener;
+  origin.links->SendVisit(listener.Address(), origin.Visit(1), {});
+  {
+    RawPeer gate(listener.Accept());
+    BOOST_REQUIRE(!gate.ReceiveFrame().empty());
+    BOOST_REQUIRE(!gate.ReceiveFrame().empty());
+  }
+  BOOST_REQUIRE(origin.observer.WaitFor(
+      [](const Heard& heard) { return HasEnded(heard, 1); }));
+  origin.links->SendVisit(listener.Address(), origin.Visit(2), {});
+  RawPeer gate(listener.Accept());
+  gate.Send(ReplyBytes(origin, 1, "late") + ReplyBytes(origin, 2, "body 2"));
+  BOOST_REQUIRE(origin.observer.WaitFor(
+      [](const Heard& heard) { return HasEnded(heard, 2); }));
+  const auto heard = origin.observer.Snapshot();
+  CheckEnd(heard, 1, End::kLostSent);
+  CheckEnd(heard, 2, End::kReply);
+  BOOST_TEST(origin.links->Counters().replies_dropped == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(NobodyListensIsEvidenceOfNotSent) {
+  IoThreads threads;
+  TestNode origin(threads.io);
+  origin.links->SendVisit(FreeAddress(), origin.Visit(1), {});
+  BOOST_REQUIRE(origin.observer.WaitFor(
+      [](const Heard& heard) { return HasEnded(heard, 1); }));
+  CheckEnd(origin.observer.Snapshot(), 1, End::kLostUnsent);
+}
+
+BOOST_AUTO_TEST_CASE(ConnectThatHangsTimesOutAsNotSent) {
+  IoThreads threads;
+  TestNode origin(threads.io, {.connect_timeout = 50ms});
+  // The kernel drops further connects once the queue of one is full.
+  RawGate listener(0);
+  const RawPeer filler(FreeAddress(), listener.Address());
+  origin.links->SendVisit(listener.Address(), origin.Visit(1), {});
+  BOOST_REQUIRE(origin.observer.WaitFor(
+      [](const Heard& heard) { return HasEnded(heard, 1); }));
+  CheckEnd(origin.observer.Snapshot(), 1, End::kLostUnsent);
+}
+
+BOOST_AUTO_TEST_CASE(HalfOpenPeerLosesItsVisitsAsSentWhenTheLinksClose) {
+  IoThreads threads;
+  TestNode origin(threads.io, {.connect_timeout = 50ms});
+  RawGate listener;
+  origin.links->SendVisit(listener.Address(), origin.Visit(1), {});
+  RawPeer gate(listener.Accept());
+  BOOST_REQUIRE(!gate.ReceiveFrame().empty());
+  BOOST_REQUIRE(!gate.ReceiveFrame().empty());
+  BOOST_TEST(origin.observer.Snapshot().lost.empty());
+  origin.links->Close();
+  BOOST_REQUIRE(origin.observer.WaitFor(
+      [](const Heard& heard) { return HasEnded(heard, 1); }));
+  CheckEnd(origin.observer.Snapshot(), 1, End::kLostSent);
+}
+
+BOOST_AUTO_TEST_CASE(PeerThatDoesNotReadIsBounded) {
+  constexpr int kVisits = 40;
+  IoThreads threads;
+  TestNode origin(threads.io, {.unsent_bytes = 2 * 1024 * 1024});
+  RawGate listener;
+  for (int call = 1; call <= kVisits; ++call) {
+    origin.links->SendVisit(listener.Address(), origin.Visit(call),
+                            {.body = std::string(1024 * 1024, 'x')});
+  }
+  BOOST_REQUIRE(origin.observer.WaitFor(
+      [](const Heard& heard) { return !heard.lost.empty(); }));
+  for (const auto& lost : origin.observer.Snapshot().lost) {
+    BOOST_TEST(!lost.sent);
+  }
+  { const RawPeer gate(listener.Accept()); }
+  BOOST_REQUIRE(origin.observer.WaitFor(
+      [](const Heard& heard) { return HasEnded(heard, kVisits); }));
+  BOOST_TEST(origin.observer.Snapshot().lost.size() ==
+             static_cast<std::size_t>(kVisits));
+}
+
+BOOST_AUTO_TEST_CASE(VisitOverTheFrameLimitIsNotSent) {
+  IoThreads threads;
+  TestNode origin(threads.io, {.frame_bytes = 1000});
+  RawGate listener;
+  origin.links->SendVisit(listener.Address(), origin.Visit(1),
+                          {.body = std::string(2000, 'x')});
+  BOOST_REQUIRE(origin.observer.WaitFor(
+      [](const Heard& heard) { return HasEnded(heard, 1); }));
+  CheckEnd(origin.observer.Snapshot(), 1, End::kLostUnsent);
+}
+
+BOOST_AUTO_TEST_CASE(AnswerOverTheFrameLimitBecomesUnknown) {
+  IoThreads threads;
+  TestNode origin(threads.io);
+  TestNode gate(threads.io, {.frame_bytes = 1000});
+  origin.links->SendVisit(gate.options.self, origin.Visit(1), {});
+  BOOST_REQUIRE(gate.observer.WaitFor(
+      [](const Heard& heard) { return heard.visits.size() == 1; }));
+  gate.links->SendReply(origin.options.self, ReplyTo(origin.Visit(1)),
+                        AnswerWith(std::string(2000, 'x')));
+  BOOST_REQUIRE(origin.observer.WaitFor(
+      [](const Heard& heard) { return HasEnded(heard, 1); }));
+  const auto reply = origin.observer.Snapshot().replies.front();
+  BOOST_TEST((reply.reply.outcome == decision::Outcome::kUnknown));
+  BOOST_TEST((reply.answer == nullptr));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace agaterun::node
--- /dev/null
+++ b/tests/node/hostile_peer_test.cc
@@ -0,0 +1,322 @@
+// What a node does with bytes on its port that no node of its kind sends.
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <ostream>
+
+#include "libraries/base/random.h"
+#include "libraries/node/frame_messages.h"
+#include "tests/node/raw_peer.h"
+#include "tests/node/test_nodes.h"
+
+namespace agaterun::node {
+
+namespace {
+
+constexpr std::uint64_t kIncarnation = 42;
+
+// The valid visit that most faults are made from.
+decision::VisitRequest ValidVisit(NodeAddress from) {
+  decision::VisitRequest visit;
+  visit.attempt = {.origin = from, .incarnation = kIncarnation, .call = 1};
+  visit.service = "drafts";
+  visit.remaining = 1s;
+  return visit;
+}
+
+std::string VisitBytes(const decision::VisitRequest& visit) {
+  return Sealed(EncodeVisit(visit, {.method = "GET", .target = "/"}));
+}
+
+std::string WithByte(std::string bytes, std::size_t offset, char value) {
+  bytes[offset] = value;
+  return bytes;
+}
+
+std::string PayloadOf(const std::string& frame) {
+  return frame.substr(FrameHeader::kBytes);
+}
+
+std::string Garbage(std::size_t size) {
+  SeededRandom random(size);
+  std::string bytes;
+  while (bytes.size() < size) {
+    bytes += static_cast<char>(random.Next());
+  }
+  return bytes;
+}
+
+struct Fault {
+  const char* name;
+  std::function<std::string(NodeAddress from)> bytes;
+};
+
+std::ostream& operator<<(std::ostream& stream, const Fault& fault) {
+  return stream << fault.name;
+}
+
+const Fault faults[] = {
+    {"garbage", [](NodeAddress) { return Garbage(300); }},
+    {"zeros", [](NodeAddress) { return std::string(300, '\0'); }},
+    {"HTTP",
+     [](NodeAddress) {
+       return std::string("GET / HTTP/1.1\r\nHost: somewhere.example\r\n\r\n");
+     }},
+    {"other version",
+     [](NodeAddress from) {
+       return WithByte(VisitBytes(ValidVisit(from)), 3, 2);
+     }},
+    {"unknown kind",
+     [](NodeAddress from) {
+       return WithByte(VisitBytes(ValidVisit(from)), 4, 99);
+     }},
+    {"reserved bytes set",
+     [](NodeAddress from) {
+       return WithByte(VisitBytes(ValidVisit(from)), 6, 1);
+     }},
+    {"length over the limit",
+     [](NodeAddress from) {
+       return WithByte(VisitBytes(ValidVisit(from)), 11, '\x7f');
+     }},
+    {"payload bit flipped",
+     [](NodeAddress from) {
+       const auto bytes = VisitBytes(ValidVisit(from));
+       return WithByte(bytes, 50, static_cast<char>(bytes[50] ^ 4));
+     }},
+    {"digest bit flipped",
+     [](NodeAddress from) {
+       return WithByte(VisitBytes(ValidVisit(from)), 17, 1);
+     }},
+    {"checksum zeroed",
+     [](NodeAddress from) {
+       return VisitBytes(ValidVisit(from)).replace(24, 8, 8, '\0');
+     }},
+    {"bytes after the message",
+     [](NodeAddress from) {
+       return FrameAround(FrameKind::kVisit,
+                          PayloadOf(VisitBytes(ValidVisit(from))) + "x");
+     }},
+    {"message cut",
+     [](NodeAddress from) {
+       auto payload = PayloadOf(VisitBytes(ValidVisit(from)));
+       payload.pop_back();
+       return FrameAround(FrameKind::kVisit, payload);
+     }},
+    {"empty message",
+     [](NodeAddress) { return FrameAround(FrameKind::kVisit, ""); }},
+    {"size over the frame",
+     [](NodeAddress) {
+       return FrameAround(FrameKind::kTicketItems, "\xff\xff\xff\xff");
+     }},
+    {"importance out of range",
+     [](NodeAddress from) {
+       auto visit = ValidVisit(from);
+       visit.importance = static_cast<decision::Importance>(9);
+       return VisitBytes(visit);
+     }},
+    {"admission key out of range",
+     [](NodeAddress from) {
+       auto visit = ValidVisit(from);
+       visit.admission_key = decision::kAdmissionKeys;
+       return VisitBytes(visit);
+     }},
+    {"negative time left",
+     [](NodeAddress from) {
+       auto visit = ValidVisit(from);
+       visit.remaining = -1ns;
+       return VisitBytes(visit);
+     }},
+    {"endless time left",
+     [](NodeAddress from) {
+       auto visit = ValidVisit(from);
+       visit.remaining = Duration::max();
+       return VisitBytes(visit);
+     }},
+    {"negative allowance",
+     [](NodeAddress from) {
+       auto visit = ValidVisit(from);
+       visit.allowance = -1;
+       return VisitBytes(visit);
+     }},
+    {"visit of another origin",
+     [](NodeAddress from) {
+       auto visit = ValidVisit(from);
+       visit.attempt.origin.port += 1;
+       return VisitBytes(visit);
+     }},
+    {"visit of another incarnation",
+     [](NodeAddress from) {
+       auto visit = ValidVisit(from);
+       visit.attempt.incarnation += 1;
+       return VisitBytes(visit);
+     }},
+    {"cancellation of another origin",
+     [](NodeAddress from) {
+       auto attempt = ValidVisit(from).attempt;
+       attempt.origin.ip += 1;
+       return Sealed(EncodeCancel(attempt));
+     }},
+    {"reply out of place",
+     [](NodeAddress from) {
+       return Sealed(EncodeReply(ReplyTo(ValidVisit(from)), nullptr));
+     }},
+    {"heartbeat out of place",
+     [](NodeAddress from) { return Sealed(EncodeHeartbeat({.from = from})); }},
+};
+
+enum class Moment { kBeforeGreeting, kAfterGreeting, kInsideFrame, kAfterCall };
+
+constexpr std::array kMomentNames = {
+    EnumName<Moment>{Moment::kBeforeGreeting, "before the greeting"},
+    EnumName<Moment>{Moment::kAfterGreeting, "after the greeting"},
+    EnumName<Moment>{Moment::kInsideFrame, "inside a frame"},
+    EnumName<Moment>{Moment::kAfterCall, "after a call"},
+};
+
+// A node with a fault's sender and an honest call in flight beside it.
+struct Scene {
+  Scene() {
+    this->honest.links->SendVisit(this->gate.options.self,
+                                  this->honest.Visit(1), {.body = "kept"});
+    BOOST_REQUIRE(this->gate.observer.WaitFor(
+        [](const Heard& heard) { return heard.visits.size() == 1; }));
+  }
+
+  // The honest call goes on as if nothing had been.
+  void CheckHonestCall() {
+    const auto visit = this->honest.Visit(1);
+    this->gate.links->SendReply(this->honest.options.self, ReplyTo(visit),
+                                AnswerWith("unharmed"));
+    BOOST_REQUIRE(this->honest.observer.WaitFor(
+        [](const Heard& heard) { return heard.replies.size() == 1; }));
+    BOOST_TEST(this->honest.observer.Snapshot().replies.front().answer->body ==
+               "unharmed");
+    BOOST_TEST(this->honest.observer.Snapshot().lost.empty());
+  }
+
+  IoThreads threads;
+  TestNode gate{threads.io};
+  TestNode honest{threads.io};
+  NodeAddress from = FreeAddress();
+};
+
+// Visits that reach the gate from the sender at this moment.
+std::size_t PlayUntil(Moment moment, RawPeer& peer, NodeAddress from) {
+  if (moment == Moment::kBeforeGreeting) {
+    return 0;
+  }
+  peer.Send(GreetingBytes(from, kIncarnation));
+  const auto visit = VisitBytes(ValidVisit(from));
+  if (moment == Moment::kInsideFrame) {
+    peer.Send(visit.substr(0, visit.size() - 9));
+  }
+  if (moment == Moment::kAfterCall) {
+    peer.Send(visit);
+  }
+  return moment == Moment::kAfterCall ? 1 : 0;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(HostilePeerTest)
+
+BOOST_DATA_TEST_CASE(FaultClosesItsConnectionAndNothingElse,
+                     boost::unit_test::data::make(faults),
+                     fault) {
+  Scene scene;
+  std::uint64_t rejected = 0;
+  std::size_t visits = 1;
+  for (const auto& [moment, name] : kMomentNames) {
+    BOOST_TEST_CONTEXT(name) {
+      RawPeer peer(scene.from, scene.gate.options.self);
+      visits += PlayUntil(moment, peer, scene.from);
+      peer.Send(fault.bytes(scene.from));
+      BOOST_TEST(peer.IsClosedByOther());
+      ++rejected;
+      BOOST_TEST(Eventually([&] {
+        return scene.gate.links->Counters().frames_rejected == rejected;
+      }));
+      BOOST_TEST(scene.gate.observer.Snapshot().visits.size() == visits);
+    }
+  }
+  scene.CheckHonestCall();
+}
+
+BOOST_AUTO_TEST_CASE(ConnectionCutInsideAFrameIsAnEvent) {
+  Scene scene;
+  for (const std::size_t cut : {1U, 31U, 32U, 33U}) {
+    // Each from a host of its own: a second greeting ends the connection
+    // before it.
+    const auto from = FreeAddress();
+    RawPeer peer(from, scene.gate.options.self);
+    peer.Send(GreetingBytes(from, kIncarnation) +
+              VisitBytes(ValidVisit(from)).substr(0, cut));
+    peer.Close();
+  }
+  BOOST_TEST(Eventually(
+      [&] { return scene.gate.links->Counters().frames_rejected == 4; }));
+  BOOST_TEST(scene.gate.observer.Snapshot().visits.size() == 1U);
+  scene.CheckHonestCall();
+}
+
+BOOST_AUTO_TEST_CASE(SecondGreetingIsOutOfPlace) {
+  Scene scene;
+  RawPeer peer(scene.from, scene.gate.options.self);
+  peer.Send(GreetingBytes(scene.from, kIncarnation));
+  peer.Send(GreetingBytes(scene.from, kIncarnation + 1));
+  BOOST_TEST(peer.IsClosedByOther());
+  BOOST_TEST(scene.gate.links->Counters().frames_rejected == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(GreetingThatNamesAnotherIpIsRefused) {
+  Scene scene;
+  RawPeer peer(scene.from, scene.gate.options.self);
+  auto other = scene.from;
+  other.ip += 1;
+  peer.Send(GreetingBytes(other, kIncarnation));
+  BOOST_TEST(peer.IsClosedByOther());
+  BOOST_TEST(scene.gate.links->Counters().peers_refused == 1U);
+  scene.CheckHonestCall();
+}
+
+BOOST_AUTO_TEST_CASE(PeerThatIsNotAllowedIsRefused) {
+  Scene scene;
+  scene.gate.links->SetAllowedPeers(
+      [honest = scene.honest.options.self](NodeAddress peer) {
+        return peer == honest;
+      });
+  RawPeer peer(scene.from, scene.gate.options.self);
+  peer.Send(GreetingBytes(scene.from, kIncarnation) +
+            VisitBytes(ValidVisit(scene.from)));
+  BOOST_TEST(peer.IsClosedByOther());
+  BOOST_TEST(scene.gate.links->Counters().peers_refused == 1U);
+  BOOST_TEST(scene.gate.observer.Snapshot().visits.size() == 1U);
+  scene.CheckHonestCall();
+}
+
+BOOST_AUTO_TEST_CASE(SilentConnectionIsClosedInTime) {
+  IoThreads threads;
+  const TestNode gate(threads.io, {.connect_timeout = 50ms});
+  RawPeer peer(FreeAddress(), gate.options.self);
+  BOOST_TEST(peer.IsClosedByOther());
+}
+
+BOOST_AUTO_TEST_CASE(ConnectionsBeyondTheLimitAreRefused) {
+  IoThreads threads;
+  const TestNode gate(threads.io, {.connections = 2});
+  const auto from = FreeAddress();
+  RawPeer first(from, gate.options.self);
+  RawPeer second(from, gate.options.self);
+  BOOST_REQUIRE(Eventually([&] { return gate.links->ConnectionCount() == 2; }));
+  RawPeer third(from, gate.options.self);
+  BOOST_TEST(third.IsClosedByOther());
+  first.Close();
+  BOOST_TEST(Eventually([&] { return gate.links->ConnectionCount() == 1; }));
+  RawPeer fourth(from, gate.options.self);
+  BOOST_TEST(Eventually([&] { return gate.links->ConnectionCount() == 2; }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace agaterun::node
