--- a/tests/driver/test_region.cc
+++ b/tests/driver/test_region.cc
@@ -28,10 +28,11 @@
 TestRegion::TestRegion(std::vector<TestHost> hosts, std::string routes)
     : work(asio::make_work_guard(this->io)),
       platform({}),
-      routes(std::move(routes)),
-      hosts(std::move(hosts)) {
-  for (std::size_t index = 0; index < this->hosts.size(); ++index) {
-    this->hosts[index].settings = this->MakeSettings(this->hosts[index], index);
+      routes(std::move(routes)) {
+  for (const auto& plan : hosts) {
+    this->hosts.push_back(
+        RunningHost{.plan = plan,
+                    .settings = this->MakeSettings(plan, this->hosts.size())});
   }
   this->platform.PublishTicket(1, this->Ticket(1));
   for (auto& host : this->hosts) {
@@ -71,14 +72,15 @@
 std::string TestRegion::Ticket(std::uint64_t number) const {
   std::map<std::string, std::string> services;
   for (const auto& host : this->hosts) {
-    auto& text = services[host.service];
+    auto& text = services[host.plan.service];
     if (text.empty()) {
-      text = "[service " + host.service +
-             "]\nslots = " + std::to_string(host.slots) +
+      text = "[service " + host.plan.service +
+             "]\nslots = " + std::to_string(host.plan.slots) +
              "\nconnections = 64\n";
     }
-    text += "endpoint." + host.name + " = " + host.settings.node.ToString() +
-            " region/" + host.failure_domain + "\n";
+    text += "endpoint." + host.plan.name + " = " +
+            host.settings.node.ToString() + " region/" +
+            host.plan.failure_domain + "\n";
   }
   std::string ticket = "[ticket]\nnumber = " + std::to_string(number) + "\n";
   for (const auto& [name, text] : services) {
@@ -87,14 +89,14 @@
   return ticket + this->routes;
 }
 
-void TestRegion::Start(TestHost& host) {
+void TestRegion::Start(RunningHost& host) {
   fakes::FakeBackendServer::Options options{
       .listen = *host.settings.backend_server,
-      .service = host.service,
-      .nested = fakes::ReadNestedCalls(host.nested),
+      .service = host.plan.service,
+      .nested = fakes::ReadNestedCalls(host.plan.nested),
       .nested_address = host.settings.nested};
-  options.behavior.service_ms = host.service_ms;
-  options.behavior.slots = host.slots;
+  options.behavior.service_ms = host.plan.service_ms;
+  options.behavior.slots = host.plan.slots;
   auto backend = fakes::FakeBackendServer::Create(this->io, options);
   VERIFY(backend.has_value());
   host.backend = std::move(*backend);
@@ -110,9 +112,9 @@
   for (int poll = 0; poll < kServingPolls; ++poll) {
     bool all_serve = true;
     for (auto& host : this->hosts) {
-      all_serve = all_serve && host.node->Health() == "serving" &&
-                  host.node->StateDump().find("\"ready\": true") !=
-                      std::string::npos;
+      all_serve =
+          all_serve && host.node->Health() == "serving" &&
+          host.node->StateDump().find("\"ready\": true") != std::string::npos;
     }
     if (all_serve) {
       return true;
--- a/tests/driver/test_region.h
+++ b/tests/driver/test_region.h
@@ -17,7 +17,7 @@
 
 namespace agaterun::driver {
 
-// One host of the region: a node and its backend server.
+// What a host of the region is to be.
 struct TestHost {
   std::string name;
   std::string service;
@@ -25,7 +25,11 @@
   int slots = 10;
   double service_ms = 1;
   std::string nested;  // As the fake backend server's --nested.
+};
 
+// A host that runs: a node and its backend server.
+struct RunningHost {
+  TestHost plan;
   NodeSettings settings;
   std::unique_ptr<fakes::FakeBackendServer> backend;
   std::unique_ptr<NodeDriver> node;
@@ -54,18 +58,18 @@
   // Text of a ticket with all services and the region's routes.
   std::string Ticket(std::uint64_t number) const;
 
-  TestHost& Host(std::size_t index) { return this->hosts[index]; }
+  RunningHost& Host(std::size_t index) { return this->hosts[index]; }
   fakes::FakePlatform& Platform() { return this->platform; }
 
  private:
-  void Start(TestHost& host);
+  void Start(RunningHost& host);
   NodeSettings MakeSettings(const TestHost& host, std::size_t index) const;
 
   asio::io_context io{1};
   asio::executor_work_guard<asio::io_context::executor_type> work;
   fakes::FakePlatform platform;
   std::string routes;
-  std::vector<TestHost> hosts;
+  std::vector<RunningHost> hosts;
   std::vector<std::unique_ptr<client::CallerClient>> clients;
   std::thread thread;
 };
--- a/tests/node/node_links_test.cc
+++ b/tests/node/node_links_test.cc
@@ -79,7 +79,8 @@
   left.links->SetStateDigest(77);
   left.links->CancelVisit(right.options.self, left.Visit(3).attempt);
   left.links->SendTicketItems(right.options.self, {{"service a", 4, "text"}});
-  left.links->RequestTicketItems(right.options.self, {{"service b", 5, 6}});
+  left.links->RequestTicketItems(
+      right.options.self, {{.name = "service b", .number = 5, .text_hash = 6}});
   left.links->SendHeartbeat(
       right.options.self,
       {.from = left.options.self, .state_digest = 77, .convicted = {{1, 5s}}});
