--- a/meta/region.py
+++ b/meta/region.py
@@ -52,11 +52,11 @@
 # Slots and connections are the brief's; service times and the call graph are
 # of this project's own choosing. drafts -> vault -> ledger is three deep.
 LECTERN = [
-    Service("drafts", 4, 80, 570, 200, "vault/audio",
+    Service("drafts", 4, 80, 570, 200, "GET:vault/audio",
             [Route("open", "GET", "/drafts", "normal", True)]),
-    Service("dispatch", 3, 100, 720, 250, "vault/audio,POST:ledger/invoices",
+    Service("dispatch", 3, 100, 720, 250, "GET:vault/audio,POST:ledger/invoices",
             [Route("send", "POST", "/packets", "critical", False)]),
-    Service("vault", 3, 100, 720, 150, "ledger/entitlements",
+    Service("vault", 3, 100, 720, 150, "GET:ledger/entitlements",
             [Route("audio", "GET", "/audio", "normal", True),
              Route("archive", "GET", "/archive", "background", True)]),
     Service("ledger", 3, 25, 250, 60, "",
@@ -67,9 +67,9 @@
 SODCEK = [
     Service("balance", 5, 70, 510, 100, "",
             [Route("lookup", "GET", "/balances", "normal", True)]),
-    Service("redemption", 4, 90, 620, 150, "balance/balances,POST:refund/entries",
+    Service("redemption", 4, 90, 620, 150, "GET:balance/balances,POST:refund/entries",
             [Route("redeem", "POST", "/redemptions", "critical", False)]),
-    Service("pour-list", 3, 110, 780, 120, "balance/balances",
+    Service("pour-list", 3, 110, 780, 120, "GET:balance/balances",
             [Route("download", "GET", "/lists", "background", True)]),
     Service("refund", 3, 35, 310, 60, "",
             [Route("settle", "POST", "/refunds", "critical", False),
