--- /dev/null
+++ b/tests/decision/origin_tables_test.cc
@@ -0,0 +1,49 @@
+#include <boost/test/unit_test.hpp>
+
+#include "libraries/decision/held_bindings.h"
+#include "libraries/decision/nested_keys.h"
+#include "tests/decision/origin_fixture.h"
+
+namespace agaterun::decision {
+
+BOOST_AUTO_TEST_SUITE(OriginTablesTest)
+
+BOOST_AUTO_TEST_CASE(HeldBindingsAreGivenOnceAndAgeOut) {
+  HeldBindings held({.most_per_gate = 2, .lifetime = 2s});
+  for (std::uint64_t sequence = 1; sequence <= 3; ++sequence) {
+    held.Put(1s, {.gate = NodeOf(1), .incarnation = 1, .sequence = sequence});
+  }
+  BOOST_TEST(held.Take(1s, NodeOf(1))->sequence == 3U);
+  BOOST_TEST(held.Take(1s, NodeOf(1))->sequence == 2U);
+  BOOST_TEST(!held.Take(1s, NodeOf(1)).has_value());
+  held.Put(1s, {.gate = NodeOf(1), .incarnation = 1, .sequence = 4});
+  BOOST_TEST(!held.Take(3s, NodeOf(1)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(HeldBindingsOfAFormerLifeAreDropped) {
+  HeldBindings held({});
+  held.Put(1s, {.gate = NodeOf(1), .incarnation = 1, .sequence = 1});
+  held.Put(1s, {.gate = NodeOf(1), .incarnation = 2, .sequence = 1});
+  BOOST_TEST(held.Take(1s, NodeOf(1))->incarnation == 2U);
+  BOOST_TEST(!held.Take(1s, NodeOf(1)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(NestedKeysAreBoundedAndEndWithTheirVisit) {
+  NestedKeys keys({.most_per_visit = 2, .most = 3});
+  const VisitId first = {.high = 1};
+  const VisitId second = {.high = 2};
+  BOOST_TEST(keys.Add(first, "ledger", "a") != nullptr);
+  BOOST_TEST(keys.Add(first, "ledger", "b") != nullptr);
+  BOOST_TEST(keys.Add(first, "ledger", "c") == nullptr);
+  BOOST_TEST(keys.Add(second, "ledger", "a") != nullptr);
+  BOOST_TEST(keys.Add(second, "ledger", "b") == nullptr);
+  keys.EraseVisit(first);
+  BOOST_TEST(keys.Size() == 1U);
+  BOOST_TEST(keys.Find(first, "ledger", "a") == nullptr);
+  keys.Erase(second, "ledger", "a");
+  BOOST_TEST(keys.Size() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace agaterun::decision
