--- a/libraries/decision/endpoint_score.cc
+++ b/libraries/decision/endpoint_score.cc
@@ -22,6 +22,13 @@
 // A refusal marks an endpoint as full for this long.
 constexpr Duration kRefusalTrusted = 100ms;
 
+// A peer that says nothing for this long while attempts wait there, and for
+// this many times its latency, may be cut off. It still gets what no other
+// endpoint can take.
+constexpr Duration kShortestSilence = 250ms;
+constexpr int kSilentLatencies = 8;
+constexpr double kSilenceCost = 50;
+
 // Half-lives of what was told and of what was observed.
 constexpr Duration kReportHalfLife = 200ms;
 constexpr Duration kLatencyHalfLife = 2s;
@@ -33,8 +40,12 @@
 
 constexpr double kRefusalWeight = 4;
 
-// Endpoints are compared down to this share of the typical latency. Broken
-// ones that answer errors at once gain no more than that.
+// An endpoint that answers nothing but errors costs this much more than one
+// without any. Where all fail alike, as after a bad release, nothing changes.
+constexpr double kFailureWeight = 20;
+
+// Endpoints are compared down to this share of the typical latency, so that
+// one which leaves out work gains no more than that.
 constexpr double kFastestOfTypical = 0.5;
 
 // Requests rise from a tenth over this time at a cold endpoint.
@@ -80,6 +91,13 @@
   return std::min(1.0, use);
 }
 
+bool IsSilent(Instant now, const PeerState& peer) {
+  return peer.in_flight > 0 &&
+         now - peer.waiting_since >
+             std::max<Duration>(kShortestSilence,
+                                kSilentLatencies * peer.latency);
+}
+
 double Warmth(Instant now, const PeerState& peer) {
   if (peer.cold_since == Instant{}) {
     return kColdShare;
@@ -135,9 +153,14 @@
               Freshness(now, peer.load_reported, kReportHalfLife);
   const double refused =
       1 + kRefusalWeight * Freshness(now, peer.last_refused, kRefusalHalfLife);
+  const double failing =
+      1 + kFailureWeight * peer.failure_share *
+              Freshness(now, peer.latency_observed, kLatencyHalfLife);
+  const double silent = IsSilent(now, peer) ? kSilenceCost : 1;
   const double distance =
       kDistanceCost[static_cast<std::size_t>(basis.proximity)];
-  return latency * own * reported * refused * distance / Warmth(now, peer);
+  return latency * own * reported * refused * failing * silent * distance /
+         Warmth(now, peer);
 }
 
 }  // namespace agaterun::decision
