--- a/libraries/decision/leaving_hints.cc
+++ b/libraries/decision/leaving_hints.cc
@@ -80,12 +80,4 @@
                                     : std::optional(found->second.listed_since);
 }
 
-std::vector<NodeAddress> LeavingHints::Nodes() const {
-  std::vector<NodeAddress> nodes;
-  for (const auto& [node, hint] : this->hints) {
-    nodes.push_back(node);
-  }
-  return nodes;
-}
-
 }  // namespace agaterun::decision
--- a/libraries/decision/leaving_hints.h
+++ b/libraries/decision/leaving_hints.h
@@ -2,6 +2,7 @@
 #define LIBRARIES_DECISION_LEAVING_HINTS_H_
 
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "libraries/base/time.h"
@@ -25,8 +26,7 @@
   // When the host was listed as leaving, or nothing.
   std::optional<Instant> ListedSince(NodeAddress node) const;
 
-  // All hosts with a hint.
-  std::vector<NodeAddress> Nodes() const;
+  bool IsEmpty() const { return this->hints.empty(); }
 
  private:
   struct Hint {
--- a/libraries/decision/membership.cc
+++ b/libraries/decision/membership.cc
@@ -1,5 +1,7 @@
 #include "libraries/decision/membership.h"
 
+#include <utility>
+
 namespace agaterun::decision {
 
 namespace {
@@ -57,6 +59,10 @@
 // The list only adds to what hosts say of themselves, and says nothing of a
 // process that was first heard after the list had changed.
 void Membership::MarkLeavingHosts() {
+  const bool had_hints = std::exchange(this->has_hints, !this->hints.IsEmpty());
+  if (!had_hints && !this->has_hints) {
+    return;
+  }
   for (const auto& [address, peer] : this->peers.All()) {
     const auto since = this->hints.ListedSince(address);
     const bool is_listed = since && peer.first_heard <= *since;
--- a/libraries/decision/membership.h
+++ b/libraries/decision/membership.h
@@ -50,6 +50,7 @@
   NodeAddress self;
   PeerTable& peers;
   LeavingHints hints;
+  bool has_hints = false;
   // Incarnations that gave way to another one.
   std::unordered_map<NodeAddress, std::uint64_t> replaced;
   Instant started{};
--- /dev/null
+++ b/tests/decision/ticket_spread_test.cc
@@ -0,0 +1,343 @@
+#include "libraries/decision/ticket_spread.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "tests/decision/spread_network.h"
+
+namespace agaterun::decision {
+
+namespace {
+
+constexpr Duration kInForceTime = 3s;
+// Bound on calls at the platform in one second: six candidates in each of
+// three domains, and what every other node may do. 320 at 710 nodes, below a
+// fifth of what the platform answers.
+int CallBound(int nodes) {
+  return 6 * 3 * 2 + nodes * 2 / 5;
+}
+
+int Readers(const SpreadNetwork& network) {
+  return network.Count([](const SpreadNetwork::Member& member) {
+    const auto role = member.node->Spread().Role();
+    return role == ReaderRole::kPoller || role == ReaderRole::kWatcher;
+  });
+}
+
+int MostCalls(const SpreadNetwork& network, Instant from) {
+  int most = 0;
+  for (const auto& [second, calls] : network.platform.calls) {
+    most = second * 1s >= from ? std::max(most, calls) : most;
+  }
+  return most;
+}
+
+void CheckNeverBack(const SpreadNetwork& network) {
+  BOOST_TEST(network.Count([](const SpreadNetwork::Member& member) {
+    return member.went_back;
+  }) == 0);
+}
+
+int CountReports(const SpreadNetwork::Member& member, LogEvent event) {
+  return static_cast<int>(std::count_if(
+      member.reports.begin(), member.reports.end(),
+      [&](const Report& report) { return report.event == event; }));
+}
+
+// A fleet that serves under ticket 1.
+SpreadNetwork Running(SpreadNetwork::Options options) {
+  SpreadNetwork network(options);
+  network.Publish(network.TicketText(1));
+  network.StartAll();
+  BOOST_TEST((network.RunUntilInForce(1, 20s) < 5s));
+  network.RunFor(2s);
+  return network;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(TicketSpreadTest)
+
+BOOST_AUTO_TEST_CASE(TwoReadersPerDomainTellAllOthers) {
+  auto network = Running({.nodes = 24});
+  BOOST_TEST(Readers(network) == 6);
+  const auto start = network.now;
+  for (std::uint64_t number = 2; number < 5; ++number) {
+    network.Publish(network.TicketText(number));
+    BOOST_TEST((network.RunUntilInForce(number, 10s) < kInForceTime));
+    network.RunFor(700ms);
+  }
+  // A poll and a watch in each domain, two calls each.
+  BOOST_TEST(MostCalls(network, start) <= 6 * 2 * 2);
+  CheckNeverBack(network);
+}
+
+BOOST_AUTO_TEST_CASE(HeartbeatLossDelaysLittle) {
+  auto network = Running({.nodes = 24, .loss = 0.1});
+  for (std::uint64_t number = 2; number < 5; ++number) {
+    network.Publish(network.TicketText(number));
+    BOOST_TEST((network.RunUntilInForce(number, 10s) < kInForceTime));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(SilentReadersAreReplacedWithinAboutASecond) {
+  auto network = Running({.nodes = 24});
+  for (int index = 0; index < 24; ++index) {
+    const auto role = network.At(index).node->Spread().Role();
+    if (role == ReaderRole::kPoller || role == ReaderRole::kWatcher) {
+      network.Stop(index);
+    }
+  }
+  BOOST_TEST(Readers(network) == 0);
+  network.RunFor(1500ms);
+  BOOST_TEST(Readers(network) == 6);
+  network.Publish(network.TicketText(2));
+  BOOST_TEST((network.RunUntilInForce(2, 10s) < kInForceTime));
+}
+
+BOOST_AUTO_TEST_CASE(OthersReadWhenAllCandidatesAreGone) {
+  auto network = Running({.nodes = 24, .domains = 1});
+  for (int index = 0; index < 24; ++index) {
+    if (network.At(index).node->Spread().Role() != ReaderRole::kNone) {
+      network.Stop(index);
+    }
+  }
+  network.Publish(network.TicketText(2));
+  BOOST_TEST((network.RunUntilInForce(2, 20s) < 12s));
+  BOOST_TEST(MostCalls(network, network.now - 20s) <= CallBound(24));
+}
+
+BOOST_AUTO_TEST_CASE(TicketThatReachedOneReaderSpreadsWithThePlatformDown) {
+  auto network = Running({.nodes = 24});
+  bool is_up = true;
+  network.reaches_platform = [&](int) { return is_up; };
+  network.Publish(network.TicketText(2));
+  while (network.Behind(2) == 24) {
+    network.RunFor(1ms);
+  }
+  is_up = false;
+  BOOST_TEST((network.RunUntilInForce(2, 10s) < kInForceTime));
+  network.RunFor(10s);
+  BOOST_TEST(network.Behind(2) == 0);
+  CheckNeverBack(network);
+}
+
+BOOST_AUTO_TEST_CASE(ReadsStayBoundedInAnOutageAndAtItsReturn) {
+  auto network = Running({.nodes = 36});
+  bool is_up = false;
+  network.reaches_platform = [&](int) { return is_up; };
+  const auto start = network.now;
+  network.RunFor(15s);
+  is_up = true;
+  network.Publish(network.TicketText(2));
+  BOOST_TEST((network.RunUntilInForce(2, 20s) < 6s));
+  network.RunFor(3s);
+  BOOST_TEST(MostCalls(network, start) <= CallBound(36));
+  BOOST_TEST(Readers(network) == 6);
+}
+
+BOOST_AUTO_TEST_CASE(WholeDomainRestartsWithoutAStampede) {
+  auto network = Running({.nodes = 48});
+  network.Publish(network.TicketText(2));
+  network.RunFor(3s);
+  network.platform.shown = 1;  // The platform fell behind meanwhile.
+  const auto start = network.now;
+  for (int index = 0; index < 48; index += 3) {
+    network.Start(index);
+  }
+  BOOST_TEST((network.RunUntilInForce(2, 10s) < kInForceTime));
+  BOOST_TEST(MostCalls(network, start) <= CallBound(48));
+  network.RunFor(3s);
+  BOOST_TEST(network.Behind(2) == 0);
+  CheckNeverBack(network);
+}
+
+BOOST_AUTO_TEST_CASE(StalePlatformDoesNotTakeAStartingNodeBack) {
+  auto network = Running({.nodes = 12});
+  network.Publish(network.TicketText(2));
+  network.RunFor(3s);
+  network.platform.shown = 1;
+  // Not even one whose seeds all restart with it.
+  for (int index = 0; index < 7; ++index) {
+    network.Start(index);
+  }
+  int served_old = 0;
+  for (int step = 0; step < 1000; ++step) {
+    network.RunFor(10ms);
+    served_old += network.Count([](const SpreadNetwork::Member& member) {
+      return member.node->Spread().Ready() && member.number < 2;
+    });
+  }
+  BOOST_TEST(served_old == 0);
+  BOOST_TEST(network.Behind(2) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(AloneItServesFromThePlatformAfterItsSeeds) {
+  SpreadNetwork network({.nodes = 6});
+  network.Publish(network.TicketText(1));
+  network.Start(5);
+  network.RunFor(500ms);
+  BOOST_TEST(network.Behind(1) == 1);
+  BOOST_TEST((network.RunUntilInForce(1, 10s) < 2s));
+}
+
+BOOST_AUTO_TEST_CASE(AloneWithThePlatformAwayItSaysWhatItWaitsFor) {
+  SpreadNetwork network({.nodes = 6});
+  network.reaches_platform = [](int) { return false; };
+  network.Start(5);
+  network.RunFor(60s);
+  BOOST_TEST(network.Behind(1) == 1);
+  // For its seeds, then for both; once each.
+  BOOST_TEST(CountReports(network.At(5), LogEvent::kWaitingForState) == 2);
+  network.reaches_platform = [](int) { return true; };
+  network.RunFor(10s);
+  BOOST_TEST(CountReports(network.At(5), LogEvent::kWaitingForState) == 3);
+  network.Publish(network.TicketText(1));
+  BOOST_TEST((network.RunUntilInForce(1, 20s) < 10s));
+}
+
+BOOST_AUTO_TEST_CASE(CutOffDomainGoesOnAndMergesWhenHealed) {
+  auto network = Running({.nodes = 24});
+  network.connected = [&](int from, int to) {
+    return (network.Domain(from) == 0) == (network.Domain(to) == 0);
+  };
+  // Only the cut-off domain reaches the platform.
+  network.reaches_platform = [&](int index) {
+    return network.Domain(index) == 0;
+  };
+  network.Publish(network.TicketText(2));
+  network.RunFor(3s);
+  BOOST_TEST(network.Behind(1) == 0);
+  BOOST_TEST(network.Behind(2) == 16);
+  network.RunFor(10s);
+  network.connected = [](int, int) { return true; };
+  BOOST_TEST((network.RunUntilInForce(2, 10s) < kInForceTime));
+  CheckNeverBack(network);
+}
+
+BOOST_AUTO_TEST_CASE(OneWayCutDoesNotKeepADomainBehind) {
+  auto network = Running({.nodes = 24});
+  network.connected = [&](int from, int to) {
+    return network.Domain(from) != 1 || network.Domain(to) != 0;
+  };
+  network.reaches_platform = [&](int index) {
+    return network.Domain(index) == 1;
+  };
+  network.Publish(network.TicketText(2));
+  BOOST_TEST((network.RunUntilInForce(2, 10s) < kInForceTime));
+}
+
+BOOST_AUTO_TEST_CASE(FrozenNodeServesNothingOldWhenItWakes) {
+  auto network = Running({.nodes = 12});
+  auto& frozen = network.At(7);
+  frozen.frozen_until = network.now + 60s;
+  network.RunFor(20s);
+  network.Publish(network.TicketText(2));
+  bool served_old = false;
+  network.on_action = [&](int index, const Action& action) {
+    const auto* answer = std::get_if<AnswerCaller>(&action);
+    served_old = served_old || (index == 7 && answer != nullptr &&
+                                answer->reason != Reason::kWaitingForState);
+  };
+  network.RunUntil(frozen.frozen_until - 1ms);
+  // The first thing that it sees is a call.
+  network.Schedule(frozen.frozen_until, [&] {
+    network.Deliver(7, CallArrived{.call = 1, .service = "s0"});
+  });
+  network.RunFor(1ms);
+  BOOST_TEST(!served_old);
+  for (const auto& [address, peer] : frozen.node->Peers().All()) {
+    BOOST_TEST((peer.load_reported == Instant{}));
+  }
+  BOOST_TEST((network.RunUntilInForce(2, 10s) < 1s));
+}
+
+BOOST_AUTO_TEST_CASE(GapsAndNumbersOutOfOrderAllComeIntoForce) {
+  auto network = Running({.nodes = 12, .services = 2});
+  const auto service_of = [&](int service, std::uint64_t number) {
+    auto text = network.TicketText(number, static_cast<int>(number));
+    const auto second = text.find("[route s1");
+    const auto head = text.find("[route s0");
+    return service == 0 ? text.substr(0, second)
+                        : text.substr(0, head) + text.substr(second);
+  };
+  network.Publish(service_of(0, 5));
+  network.RunFor(2s);
+  network.Publish(service_of(1, 4));
+  network.RunFor(3s);
+  BOOST_TEST(network.Count([](const SpreadNetwork::Member& member) {
+    const auto& state = *member.node->State();
+    return state.FindService("s0")->slots == 5 &&
+           state.FindService("s1")->slots == 4;
+  }) == 12);
+}
+
+BOOST_AUTO_TEST_CASE(TwoTextsUnderOneNumberConvergeAndAreReported) {
+  auto network = Running({.nodes = 24});
+  network.connected = [&](int from, int to) {
+    return network.Domain(from) == network.Domain(to);
+  };
+  network.reaches_platform = [&](int index) {
+    return network.Domain(index) == 0;
+  };
+  network.Publish(network.TicketText(2, 10));
+  network.RunFor(2s);
+  network.platform.tickets.back() = network.TicketText(2, 20);
+  network.reaches_platform = [&](int index) {
+    return network.Domain(index) == 1;
+  };
+  network.RunFor(8s);
+  network.connected = [](int, int) { return true; };
+  network.RunFor(3s);
+  const auto digest = network.At(0).node->State()->digest;
+  BOOST_TEST(network.Count([&](const SpreadNetwork::Member& member) {
+    return member.node->State()->digest == digest;
+  }) == 24);
+  BOOST_TEST(network.Count([](const SpreadNetwork::Member& member) {
+    return CountReports(member, LogEvent::kTicketConflict) > 0;
+  }) > 0);
+}
+
+BOOST_AUTO_TEST_CASE(LeavingIsKnownEverywhereAtOnce) {
+  auto network = Running({.nodes = 24, .loss = 0.01});
+  const auto address = network.At(8).address;
+  network.Deliver(8, StopRequested{});
+  network.RunFor(2s);
+  BOOST_TEST(network.Count([&](const SpreadNetwork::Member& member) {
+    const auto* peer = member.node->Peers().Find(address);
+    return peer == nullptr || !peer->load.leaving;
+  }) <= 3);
+}
+
+BOOST_AUTO_TEST_CASE(HostListMakesAHostLeaveButNotItsSuccessor) {
+  auto network = Running({.nodes = 12});
+  network.platform.hosts = {{.node = network.At(8).address}};
+  network.RunFor(3s);
+  network.platform.hosts[0].leaving = true;
+  network.RunFor(3s);
+  BOOST_TEST(network.At(8).node->IsStopping());
+  // The list still names the host when the next process starts there.
+  network.Start(8);
+  network.RunFor(10s);
+  BOOST_TEST(!network.At(8).node->IsStopping());
+  BOOST_TEST(network.Behind(1) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(NewIncarnationForgetsTheOldOne) {
+  auto network = Running({.nodes = 12});
+  const auto address = network.At(8).address;
+  const Heartbeat old{
+      .from = address, .incarnation = 1, .load = {.running = 9}};
+  network.Start(8);
+  network.RunFor(2s);
+  const auto* peer = network.At(5).node->Peers().Find(address);
+  BOOST_REQUIRE(peer != nullptr);
+  BOOST_TEST(peer->incarnation == 2U);
+  // A late datagram of the former process changes nothing.
+  network.Deliver(5, HeartbeatReceived{old});
+  BOOST_TEST(peer->incarnation == 2U);
+  BOOST_TEST(peer->load.running == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace agaterun::decision
