--- a/libraries/driver/node_driver.cc
+++ b/libraries/driver/node_driver.cc
@@ -30,6 +30,7 @@
     : io(io),
       strand(asio::make_strand(io)),
       settings(std::move(settings)),
+      // Zero stands for an incarnation that is not known yet.
       incarnation(this->random.Next() | 1),
       decisions({.self = this->settings.node,
                  .incarnation = this->incarnation,
@@ -220,7 +221,7 @@
 void NodeDriver::Perform(const decision::SendAttempt& action) {
   const auto& attempt = action.request.attempt;
   const auto found = this->requests.calls.find(attempt.call);
-  static const HttpRequest kEmptyRequest;
+  static const HttpRequest empty_request;
   const bool runs = action.request.kind == decision::VisitKind::kRun;
   if (runs && found == this->requests.calls.end()) {
     this->own_events.emplace_back(
@@ -229,7 +230,7 @@
   }
   if (action.to != this->settings.node) {
     this->links->SendVisit(action.to, action.request,
-                           runs ? *found->second.request : kEmptyRequest);
+                           runs ? *found->second.request : empty_request);
     return;
   }
   // This node's own backend server: no network between origin and gate.
@@ -383,8 +384,6 @@
 
 void NodeDriver::OnBackendReachable(bool reachable) {
   asio::post(this->strand, [this, reachable] {
-    Log(reachable ? LogEvent::kBackendUp : LogEvent::kBackendDown,
-        {{"address", this->settings.backend_server->ToString()}});
     this->Handle(decision::BackendReachable{.reachable = reachable});
   });
 }
