Decision: Switch mechanisms off by settings, to measure each

Cause: goodput and recovery need baselines in the same run, and each mechanism is to earn its place. A second SIGTERM while draining ended a node (exit -15 in one of 13): asio's signal set had put the default action back before the process ended. The signals are now blocked in all threads and taken by sigwait. The baseline still passes on deadlines and cancels, which a system without control does not.

--- a/libraries/base/settings.cc
+++ b/libraries/base/settings.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <sstream>
 
 #include "libraries/base/ini_document.h"
 #include "libraries/base/ini_section_reader.h"
@@ -17,7 +18,8 @@
 constexpr std::size_t kMostSeeds = 16;
 
 std::vector<std::string> SectionNames() {
-  return {"node", "caller", "backend_server", "platform", "operator"};
+  return {"node",     "caller",   "backend_server",
+          "platform", "operator", "experiment"};
 }
 
 // Stands for a section that the text lacks, so that its required keys are
@@ -43,6 +45,7 @@
         this->ReadAddressOnly("platform", "127.0.0.1:8300");
     this->settings.operator_address =
         this->ReadAddressOnly("operator", "127.0.1.1:8200");
+    this->ReadExperiment();
     this->CheckSections();
     this->CheckListeners();
     return std::move(this->settings);
@@ -136,6 +139,22 @@
     reader.Finish();
   }
 
+  // The names are checked by whoever knows the mechanisms.
+  void ReadExperiment() {
+    const auto* section = this->document.Find("experiment");
+    if (section == nullptr) {
+      return;
+    }
+    IniSectionReader reader(*section, this->faults);
+    reader.Require("disabled", "early-shedding, newest-first");
+    std::istringstream names(reader.Text("disabled").value_or(""));
+    std::string name;
+    while (std::getline(names >> std::ws, name, ',')) {
+      this->settings.disabled_mechanisms.push_back(name);
+    }
+    reader.Finish();
+  }
+
   NodeAddress ReadAddressOnly(std::string_view name, std::string_view example) {
     const IniSection empty{.name = std::string(name)};
     IniSectionReader reader(SectionOrEmpty(this->document, empty),
--- a/libraries/base/settings.h
+++ b/libraries/base/settings.h
@@ -39,6 +39,10 @@
   // [platform]
   NodeAddress platform;  // `address`
 
+  // [experiment], optional: `disabled`, names of decision::Mechanism, to
+  // measure what each is worth.
+  std::vector<std::string> disabled_mechanisms;
+
   // [operator]
   NodeAddress operator_address;  // `address`: administration API.
 };
--- a/libraries/decision/admission.cc
+++ b/libraries/decision/admission.cc
@@ -13,6 +13,9 @@
 // A queue shorter than this would refuse bursts that a free slot can take.
 constexpr std::size_t kLeastQueue = 4;
 
+// Stands for no limit while that is switched off.
+constexpr int kNoLimit = 1 << 20;
+
 // Part of the queue time from which on the newest go first.
 constexpr int kNewestFirstPart = 4;
 
@@ -33,6 +36,11 @@
   this->weights = std::move(weights);
 }
 
+int Admission::Limit() const {
+  return this->Enabled(Mechanism::kConcurrencyLimit) ? this->limit.Limit()
+                                                     : kNoLimit;
+}
+
 double Admission::WeightOf(std::string_view share) const {
   const auto found = this->weights.find(share);
   if (found == this->weights.end() || !(found->second > 0)) {
@@ -47,7 +55,7 @@
     return kQueueCapacity;
   }
   const double served =
-      ToSeconds(this->queue_time) / ToSeconds(service) * this->limit.Limit();
+      ToSeconds(this->queue_time) / ToSeconds(service) * this->Limit();
   return std::clamp(static_cast<std::size_t>(std::min(served, 1e6)),
                     kLeastQueue, kQueueCapacity);
 }
@@ -75,7 +83,7 @@
   }
   // A slot that stands free is given whatever the threshold says: the request
   // is the probe that shows whether the overload is over.
-  if (this->running < this->limit.Limit() && this->queue.Size() == 0) {
+  if (this->running < this->Limit() && this->queue.Size() == 0) {
     return {.verdict = Verdict::kStart};
   }
   if (this->Enabled(Mechanism::kThreshold) &&
@@ -100,7 +108,7 @@
 bool Admission::WouldAdmit(Instant now,
                            Importance importance,
                            std::uint16_t key) {
-  if (this->running < this->limit.Limit() && this->queue.Size() == 0) {
+  if (this->running < this->Limit() && this->queue.Size() == 0) {
     return true;
   }
   return Admits(this->threshold.Threshold(now), importance, key);
@@ -115,7 +123,7 @@
 }
 
 std::optional<VisitId> Admission::Pop(Instant now) {
-  if (this->running >= this->limit.Limit()) {
+  if (this->running >= this->Limit()) {
     return std::nullopt;
   }
   return this->queue.Pop(now);
--- a/libraries/decision/admission.h
+++ b/libraries/decision/admission.h
@@ -89,7 +89,7 @@
 
   AdmissionThreshold Threshold(Instant now);
   int Running() const { return this->running; }
-  int Limit() const { return this->limit.Limit(); }
+  int Limit() const;
   std::size_t Queued() const { return this->queue.Size(); }
 
  private:
--- a/libraries/decision/call_runner.cc
+++ b/libraries/decision/call_runner.cc
@@ -8,7 +8,8 @@
 namespace agaterun::decision {
 
 CallRunner::CallRunner(Options options, PeerTable& peers, RandomSource& random)
-    : peers(peers),
+    : disabled(options.disabled),
+      peers(peers),
       sender({.self = options.self, .incarnation = options.incarnation}, peers),
       picker({.origin = {.self = options.self,
                          .region = options.region,
@@ -51,7 +52,10 @@
 }
 
 bool CallRunner::TakeRetry(Instant now, Call& call) {
-  if (call.allowance.Remaining() == 0 || !this->budget.Take(now)) {
+  if (call.allowance.Remaining() == 0) {
+    return false;
+  }
+  if (this->Enabled(Mechanism::kRetryBudget) && !this->budget.Take(now)) {
     return false;
   }
   return call.allowance.Spend();
@@ -171,6 +175,15 @@
   const auto& reply = event.reply;
   call.binding_unused = false;
   if (IsWhole(event)) {
+    // What a caller without rules for retries does.
+    const bool is_retried = IsServerError(event) && call.request.idempotent &&
+                            !this->Enabled(Mechanism::kRetryRules) &&
+                            call.allowance.Remaining() > 0;
+    if (is_retried) {
+      call.outcome.AttemptEnded(AttemptResult::kUnknown);
+      call.tried.push_back(gate);
+      return this->SendElsewhere(now, call, true, false, actions);
+    }
     return EndCompleted(call, event.answer);
   }
   if (reply.outcome != Outcome::kNotRun) {
@@ -203,7 +216,10 @@
     call.refusal = reason;
     call.retry_after = retry_after;
   }
-  switch (RuleForRefusal(reason)) {
+  const auto rule = this->Enabled(Mechanism::kRetryRules)
+                        ? RuleForRefusal(reason)
+                        : RetryRule::kElsewhere;
+  switch (rule) {
     case RetryRule::kNever:
       return EndOf(call, call.refusal);
     case RetryRule::kOnceWithRoom:
--- a/libraries/decision/call_runner.h
+++ b/libraries/decision/call_runner.h
@@ -12,6 +12,7 @@
 #include "libraries/decision/endpoint_picker.h"
 #include "libraries/decision/events.h"
 #include "libraries/decision/held_bindings.h"
+#include "libraries/decision/mechanism.h"
 #include "libraries/decision/peer_table.h"
 #include "libraries/decision/retry_budget.h"
 
@@ -28,6 +29,7 @@
     std::uint64_t incarnation = 0;
     std::string region;
     std::string failure_domain;
+    MechanismSet disabled = {};
   };
 
   // `peers` and `random` outlive the runner.
@@ -100,6 +102,11 @@
   bool IsKnownGate(const Call& call, NodeAddress gate) const;
   std::optional<Binding> TakeHeldBinding(Instant now, NodeAddress gate);
 
+  bool Enabled(Mechanism mechanism) const {
+    return !this->disabled.Has(mechanism);
+  }
+
+  MechanismSet disabled;
   PeerTable& peers;
   AttemptSender sender;
   EndpointPicker picker;
--- a/libraries/decision/mechanism.h
+++ b/libraries/decision/mechanism.h
@@ -10,17 +10,23 @@
 
 namespace agaterun::decision {
 
-// Parts of admission that can be switched off, to measure what each is worth.
+// Parts of the decisions that can be switched off, to measure what each is
+// worth. Promises that hold at all times are not among them.
 enum class Mechanism : std::uint8_t {
-  kAdaptiveLimit,  // Off: the limit stays at the published slots.
-  kThreshold,      // Off: everything is admitted up to the queue.
-  kNewestFirst,    // Off: oldest first, also under load.
-  kDisplacement,   // Off: a full queue refuses whatever arrives.
-  kFairShares,     // Off: one share takes whatever it asks for.
-  kDeadlineCheck,  // Off: work starts although it can't be done in time.
+  kAdaptiveLimit,     // Off: the limit stays at the published slots.
+  kThreshold,         // Off: everything is admitted up to the queue.
+  kNewestFirst,       // Off: oldest first, also under load.
+  kDisplacement,      // Off: a full queue refuses whatever arrives.
+  kFairShares,        // Off: one share takes whatever it asks for.
+  kDeadlineCheck,     // Off: work starts although it can't be done in time.
+  kConcurrencyLimit,  // Off: every request starts at once.
+  kEarlyShedding,     // Off: the entry admits what the path would refuse.
+  kRetryAllowance,    // Off: every hop has three tries of its own.
+  kRetryRules,        // Off: overload and server errors are retried too.
+  kRetryBudget,       // Off: a node retries as often as allowances let it.
 };
 
-inline constexpr std::size_t kMechanismCount = 6;
+inline constexpr std::size_t kMechanismCount = 11;
 
 inline constexpr std::array kMechanismNames = {
     EnumName<Mechanism>{Mechanism::kAdaptiveLimit, "adaptive-limit"},
@@ -29,6 +35,11 @@
     EnumName<Mechanism>{Mechanism::kDisplacement, "displacement"},
     EnumName<Mechanism>{Mechanism::kFairShares, "fair-shares"},
     EnumName<Mechanism>{Mechanism::kDeadlineCheck, "deadline-check"},
+    EnumName<Mechanism>{Mechanism::kConcurrencyLimit, "concurrency-limit"},
+    EnumName<Mechanism>{Mechanism::kEarlyShedding, "early-shedding"},
+    EnumName<Mechanism>{Mechanism::kRetryAllowance, "retry-allowance"},
+    EnumName<Mechanism>{Mechanism::kRetryRules, "retry-rules"},
+    EnumName<Mechanism>{Mechanism::kRetryBudget, "retry-budget"},
 };
 
 // A set of mechanisms.
@@ -41,6 +52,10 @@
     }
   }
 
+  void Add(Mechanism mechanism) {
+    this->bits.set(static_cast<std::size_t>(mechanism));
+  }
+
   bool Has(Mechanism mechanism) const {
     return this->bits.test(static_cast<std::size_t>(mechanism));
   }
--- a/libraries/decision/node.h
+++ b/libraries/decision/node.h
@@ -10,6 +10,7 @@
 #include "libraries/base/random.h"
 #include "libraries/decision/events.h"
 #include "libraries/decision/gate.h"
+#include "libraries/decision/mechanism.h"
 #include "libraries/decision/origin.h"
 #include "libraries/decision/peer_table.h"
 #include "libraries/decision/ticket_spread.h"
@@ -30,6 +31,8 @@
     std::string failure_domain;
     std::string service;  // Of the backend server on this host; may be empty.
     std::vector<NodeAddress> seeds;
+    // Switched off, to measure what each is worth.
+    MechanismSet disabled = {};
   };
 
   // `random` outlives the node.
--- a/libraries/decision/origin.cc
+++ b/libraries/decision/origin.cc
@@ -6,6 +6,9 @@
 
 namespace {
 
+// Retries of each hop when they are not conserved: three tries, as is common.
+constexpr int kRetriesPerHop = 2;
+
 // Longest time for a query of a binding, which no route gives a deadline.
 constexpr Duration kQueryDeadline = 1s;
 
@@ -31,7 +34,8 @@
       runner({.self = this->options.self,
               .incarnation = this->options.incarnation,
               .region = this->options.region,
-              .failure_domain = this->options.failure_domain},
+              .failure_domain = this->options.failure_domain,
+              .disabled = this->options.disabled},
              peers,
              random) {}
 
@@ -200,7 +204,7 @@
 
 bool Origin::Shed(Instant now, const Call& call, Actions& actions) {
   // Refusing here fences nothing, so a bound call goes to its gate.
-  if (call.binding) {
+  if (call.binding || this->options.disabled.Has(Mechanism::kEarlyShedding)) {
     return false;
   }
   const auto& request = call.request;
@@ -230,9 +234,13 @@
 
 void Origin::Start(Instant now, Call call, int retries, Actions& actions) {
   if (call.parent) {
-    retries = this->parents.LendAllowance(*call.parent, retries);
     this->parents.NestedCallStarted(now, *call.parent);
   }
+  if (this->options.disabled.Has(Mechanism::kRetryAllowance)) {
+    retries = kRetriesPerHop;
+  } else if (call.parent) {
+    retries = this->parents.LendAllowance(*call.parent, retries);
+  }
   call.allowance = RetryAllowance({.retries = retries});
   if (!call.idempotency_key.empty()) {
     this->keys.Find(*call.parent, call.request.service, call.idempotency_key)
--- a/libraries/decision/origin.h
+++ b/libraries/decision/origin.h
@@ -10,6 +10,7 @@
 #include "libraries/decision/call_runner.h"
 #include "libraries/decision/call_table.h"
 #include "libraries/decision/events.h"
+#include "libraries/decision/mechanism.h"
 #include "libraries/decision/nested_keys.h"
 #include "libraries/decision/parent_visits.h"
 #include "libraries/decision/path_thresholds.h"
@@ -28,6 +29,8 @@
     std::string failure_domain;
     // Calls without their final answer; more are refused as not run.
     std::size_t most_calls = 16384;
+    // Switched off, to measure what each is worth.
+    MechanismSet disabled = {};
   };
 
   // `parents`, `peers` and `random` outlive the origin.
--- a/libraries/driver/node_driver.cc
+++ b/libraries/driver/node_driver.cc
@@ -24,9 +24,30 @@
 constexpr Duration kFlushTime = 2s;
 constexpr Duration kFlushPoll = 20ms;
 
+Result<decision::MechanismSet> ReadMechanisms(
+    const std::vector<std::string>& names) {
+  decision::MechanismSet mechanisms;
+  for (const auto& name : names) {
+    const auto mechanism = FromName(decision::kMechanismNames, name);
+    if (!mechanism) {
+      std::string known;
+      for (const auto& row : decision::kMechanismNames) {
+        known += (known.empty() ? "" : ", ") + std::string(row.name);
+      }
+      return MakeError(ErrorKind::kInvalidSettings,
+                       "[experiment] disabled: unknown mechanism '" + name +
+                           "'; known are " + known);
+    }
+    mechanisms.Add(*mechanism);
+  }
+  return mechanisms;
+}
+
 }  // namespace
 
-NodeDriver::NodeDriver(asio::io_context& io, NodeSettings settings)
+NodeDriver::NodeDriver(asio::io_context& io,
+                       NodeSettings settings,
+                       decision::MechanismSet disabled)
     : io(io),
       strand(asio::make_strand(io)),
       settings(std::move(settings)),
@@ -37,7 +58,8 @@
                  .region = this->settings.region,
                  .failure_domain = this->settings.failure_domain,
                  .service = this->settings.service,
-                 .seeds = this->settings.seeds},
+                 .seeds = this->settings.seeds,
+                 .disabled = disabled},
                 this->random),
       wake_timer(this->strand) {}
 
@@ -45,7 +67,12 @@
 
 Result<std::unique_ptr<NodeDriver>> NodeDriver::Create(asio::io_context& io,
                                                        NodeSettings settings) {
-  std::unique_ptr<NodeDriver> driver(new NodeDriver(io, std::move(settings)));
+  const auto disabled = ReadMechanisms(settings.disabled_mechanisms);
+  if (!disabled) {
+    return tl::unexpected(disabled.error());
+  }
+  std::unique_ptr<NodeDriver> driver(
+      new NodeDriver(io, std::move(settings), *disabled));
   if (auto opened = driver->Open(); !opened) {
     return tl::unexpected(opened.error());
   }
--- a/libraries/driver/node_driver.h
+++ b/libraries/driver/node_driver.h
@@ -36,7 +36,8 @@
                          public platform::PlatformObserver,
                          public operator_interface::AdminSource {
  public:
-  // Opens every listener, then starts. Fails when an address is taken.
+  // Opens every listener, then starts. Fails when an address is taken, or when
+  // the settings disable a mechanism that is not known.
   static Result<std::unique_ptr<NodeDriver>> Create(asio::io_context& io,
                                                     NodeSettings settings);
   ~NodeDriver() override;
@@ -84,7 +85,9 @@
   std::string Metrics() override;
 
  private:
-  NodeDriver(asio::io_context& io, NodeSettings settings);
+  NodeDriver(asio::io_context& io,
+             NodeSettings settings,
+             decision::MechanismSet disabled);
   Result<void> Open();
 
   // Runs `work` on the decision strand, inline when the strand is free and
--- a/meta/region.py
+++ b/meta/region.py
@@ -76,6 +76,19 @@
              Route("entry", "POST", "/entries", "critical", False)]),
 ]
 
+# What a part of an experiment switches off. "none" is no control at all: every
+# request starts at once, and every hop tries three times, overload or not.
+CONTROLS = {
+    "full": [],
+    "none": ["concurrency-limit", "adaptive-limit", "threshold",
+             "newest-first", "displacement", "fair-shares", "deadline-check",
+             "early-shedding", "retry-allowance", "retry-rules",
+             "retry-budget"],
+    "fixed": ["adaptive-limit", "threshold", "newest-first", "displacement",
+              "fair-shares", "deadline-check", "early-shedding",
+              "retry-allowance", "retry-rules"],
+}
+
 DEPLOYMENTS = {"lectern": ("cascadia", LECTERN),
                "sodcek": ("slo-central", SODCEK)}
 
@@ -198,8 +211,14 @@
             f"nested_address = {host.ip}:{NESTED_PORT}",
             "[platform]", f"address = 127.{self.base}.0.1:{PLATFORM_PORT}",
             "[operator]", f"address = {host.ip}:{OPERATOR_PORT}",
-        ] + ([] if self.control == "full"
-             else ["[experiment]", f"control = {self.control}"])) + "\n"
+        ] + self._experiment()) + "\n"
+
+    def _experiment(self):
+        """`control` names a row of CONTROLS, or one mechanism to do without."""
+        disabled = CONTROLS.get(self.control, [self.control])
+        if not disabled:
+            return []
+        return ["[experiment]", "disabled = " + ",".join(disabled)]
 
     def start_node(self, host):
         path = self.folder / f"{host.name}.ini"
--- a/services/agaterund/main.cc
+++ b/services/agaterund/main.cc
@@ -2,7 +2,6 @@
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
-#include <asio/signal_set.hpp>
 #include <csignal>
 #include <cstdio>
 #include <fstream>
@@ -89,7 +88,20 @@
   return *settings;
 }
 
+// Blocks the signals that ask for a planned stop, in this thread and in all
+// that it starts. A second one, sent while the node drains, stays pending and
+// does not cut off what is in flight.
+sigset_t BlockStopSignals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  return signals;
+}
+
 int Serve(NodeSettings settings) {
+  const auto stop_signals = BlockStopSignals();
   const int thread_count = settings.threads;
   StartLogging(settings.host, settings.log_level);
   asio::io_context io(thread_count);
@@ -97,22 +109,21 @@
   const auto node = settings.node.ToString();
   auto driver = driver::NodeDriver::Create(io, std::move(settings));
   if (!driver) {
-    Log(LogEvent::kListenFailed, {{"why", driver.error().message}});
-    return kFailure;
+    const bool bad_settings =
+        driver.error().kind == ErrorKind::kInvalidSettings;
+    Log(bad_settings ? LogEvent::kSettingsRefused : LogEvent::kListenFailed,
+        {{"why", driver.error().message}});
+    return bad_settings ? kBadSettings : kFailure;
   }
   Log(LogEvent::kStarted, {{"callers", caller}, {"node", node}});
   auto work = asio::make_work_guard(io);
-  asio::signal_set signals(io, SIGTERM, SIGINT);
-  signals.async_wait([&](const std::error_code& error, int /*signal*/) {
-    if (!error) {
-      (*driver)->Stop([&] { io.stop(); });
-    }
-  });
   std::vector<std::thread> threads;
-  for (int index = 1; index < thread_count; ++index) {
+  for (int index = 0; index < thread_count; ++index) {
     threads.emplace_back([&io] { io.run(); });
   }
-  io.run();
+  int signal = 0;
+  sigwait(&stop_signals, &signal);
+  (*driver)->Stop([&] { io.stop(); });
   for (auto& thread : threads) {
     thread.join();
   }
