Decision: Find the concurrency limit by probing, keep classes in order

The first limit compared slopes at a step of a quarter: it wandered between 20 and 39 of 25 slots and never found 25 when 12 were published. The limit now steps by half, trusts own times near the unloaded one at once, looks below only when a published value too high by two could explain what it sees, and samples at least one own time so that requests that end together count whole.

The threshold's budget followed starts of a quarter second, which are none for a while when all slots end together; it now takes what the slots run on average, and cuts a class only when all below it are gone. A queued request whose whole class is admitted waits on rather than be refused, and a refusal drops whatever less important waits.

--- a/libraries/decision/admission.cc
+++ b/libraries/decision/admission.cc
@@ -13,6 +13,9 @@
 // A queue shorter than this would refuse bursts that a free slot can take.
 constexpr std::size_t kLeastQueue = 4;
 
+// One slot in so many is kept for requests that the threshold admits.
+constexpr int kReservedPart = 8;
+
 // Part of the queue time from which on the newest go first.
 constexpr int kNewestFirstPart = 4;
 
@@ -73,9 +76,8 @@
   if (!this->CanFinish(now, candidate.route, candidate.deadline)) {
     return {.reason = Reason::kDeadlineExceeded};
   }
-  // A slot that stands free is given whatever the threshold says: the request
-  // is the probe that shows whether the overload is over.
-  if (this->running < this->limit.Limit() && this->queue.Size() == 0) {
+  if (this->queue.Size() == 0 &&
+      this->HasFreeSlot(now, candidate.importance, candidate.admission_key)) {
     return {.verdict = Verdict::kStart};
   }
   if (this->Enabled(Mechanism::kThreshold) &&
@@ -97,13 +99,39 @@
   return {.verdict = Verdict::kQueue, .displaced = worst};
 }
 
+bool Admission::HasFreeSlot(Instant now,
+                            Importance importance,
+                            std::uint16_t key) {
+  const int limit = this->limit.Limit();
+  if (Admits(this->Threshold(now), importance, key)) {
+    return this->running < limit;
+  }
+  // Beyond the threshold a request may still take a slot that would stay idle;
+  // it is the probe that shows whether the overload is over. Some slots are
+  // kept for what the threshold admits, or that would have to wait for it.
+  return this->running < limit - std::max(1, limit / kReservedPart);
+}
+
+bool Admission::MayWaitOn(Instant now, const Candidate& candidate) {
+  if (candidate.importance == Importance::kBackground) {
+    return false;
+  }
+  // Slots that free up go to less important work only if nothing more
+  // important waits, so whoever is refused here must not come before those
+  // that are still admitted.
+  const auto threshold = this->Threshold(now);
+  const bool whole_class_admitted = candidate.importance < threshold.cutoff ||
+                                    (candidate.importance == threshold.cutoff &&
+                                     threshold.keys == kAdmissionKeys);
+  return whole_class_admitted &&
+         this->CanFinish(now, candidate.route, candidate.deadline);
+}
+
 bool Admission::WouldAdmit(Instant now,
                            Importance importance,
                            std::uint16_t key) {
-  if (this->running < this->limit.Limit() && this->queue.Size() == 0) {
-    return true;
-  }
-  return Admits(this->threshold.Threshold(now), importance, key);
+  return Admits(this->Threshold(now), importance, key) ||
+         (this->queue.Size() == 0 && this->HasFreeSlot(now, importance, key));
 }
 
 void Admission::Push(Instant now, VisitId visit, const Candidate& candidate) {
@@ -121,6 +149,14 @@
   return this->queue.Pop(now);
 }
 
+std::optional<VisitId> Admission::LessImportant(Importance importance) const {
+  if (importance == Importance::kBackground) {
+    return std::nullopt;
+  }
+  return this->queue.Worst(
+      static_cast<Importance>(static_cast<int>(importance) + 1));
+}
+
 void Admission::OnStart(Instant now) {
   ++this->running;
   this->threshold.OnStart(now);
@@ -132,12 +168,20 @@
                            Duration total,
                            Duration own) {
   this->service_times.Add(now, route, total);
+  if (const Duration service = this->service_times.ExpectedOfAny(now);
+      service > Duration{}) {
+    this->threshold.SetCapacity(this->limit.Limit() / ToSeconds(service));
+  }
   this->limit.OnFinished(now, own, this->running);
   --this->running;
 }
 
-void Admission::OnAborted(Instant now, std::string_view route, Duration total) {
+void Admission::OnAborted(Instant now,
+                          std::string_view route,
+                          Duration total,
+                          Duration own) {
   this->service_times.AddUnfinished(now, route, total);
+  this->limit.OnAborted(now, own, this->running);
   --this->running;
 }
 
--- a/libraries/decision/admission.h
+++ b/libraries/decision/admission.h
@@ -12,6 +12,7 @@
 #include "libraries/decision/admission_threshold_controller.h"
 #include "libraries/decision/concurrency_limit.h"
 #include "libraries/decision/mechanism.h"
+#include "libraries/decision/messages.h"
 #include "libraries/decision/retry_after.h"
 #include "libraries/decision/service_times.h"
 #include "libraries/decision/ticket_state.h"
@@ -72,13 +73,24 @@
   // Instant at which a request that is queued now has waited long enough.
   Instant QueuedUntil(Instant now, const Candidate& candidate) const;
 
+  // Whether a queued request that has waited its time may wait on, since less
+  // important work is still admitted.
+  bool MayWaitOn(Instant now, const Candidate& candidate);
+
+  // A queued visit to refuse because a more important request was refused, or
+  // nothing.
+  std::optional<VisitId> LessImportant(Importance importance) const;
+
   void OnStart(Instant now);
   void OnFinished(Instant now,
                   std::string_view route,
                   Duration total,
                   Duration own);
   // Given up or broken off after `total`.
-  void OnAborted(Instant now, std::string_view route, Duration total);
+  void OnAborted(Instant now,
+                 std::string_view route,
+                 Duration total,
+                 Duration own);
   // Not run by the backend server, which said so when `shed`.
   void OnNotRun(Instant now, bool shed);
   // A queued visit was refused or waited too long.
@@ -96,6 +108,7 @@
   bool Enabled(Mechanism mechanism) const {
     return !this->options.disabled.Has(mechanism);
   }
+  bool HasFreeSlot(Instant now, Importance importance, std::uint16_t key);
   double WeightOf(std::string_view share) const;
   // Queued visits that can get a slot within the queue time.
   std::size_t QueueCapacity(Instant now) const;
@@ -111,6 +124,17 @@
   int running = 0;
 };
 
+// What admission needs to know of a request with this deadline. Refers to the
+// request's strings.
+inline Admission::Candidate CandidateOf(const VisitRequest& request,
+                                        Instant deadline) {
+  return {.route = request.route,
+          .share = request.share,
+          .importance = request.importance,
+          .admission_key = request.admission_key,
+          .deadline = deadline};
+}
+
 }  // namespace agaterun::decision
 
 #endif  // LIBRARIES_DECISION_ADMISSION_H_
--- a/libraries/decision/admission_threshold_controller.cc
+++ b/libraries/decision/admission_threshold_controller.cc
@@ -82,7 +82,10 @@
   // it, whatever the surge: a step by step descent would take longer than
   // the queue can hold.
   this->raise = 1;
-  const double budget = this->starts * kHeadroom;
+  // Requests that were started together end together, and for a while none is
+  // started at all; what the slots can run on average tells more then.
+  const double sustained = this->capacity * ToSeconds(kWindow) / (1 - kFading);
+  const double budget = std::max(this->starts, sustained) * kHeadroom;
   double admitted = 0;
   int fitting = 0;
   while (fitting < kLevels) {
@@ -92,7 +95,10 @@
     }
     ++fitting;
   }
-  this->level = std::clamp(fitting, 1, this->level);
+  // A class is cut only once all below it are gone: counts of a few requests
+  // are too coarse to say that both steps are needed.
+  const int least = (this->level - 1) / kSlices * kSlices;
+  this->level = std::clamp(fitting, std::max(1, least), this->level);
 }
 
 void AdmissionThresholdController::Raise() {
--- a/libraries/decision/admission_threshold_controller.h
+++ b/libraries/decision/admission_threshold_controller.h
@@ -19,6 +19,9 @@
   // A request went to the backend server.
   void OnStart(Instant now);
 
+  // Requests per second that the slots can run, by their service times.
+  void SetCapacity(double per_second) { this->capacity = per_second; }
+
   // A request was refused for want of a slot, or waited too long for one.
   void OnOverload(Instant now);
 
@@ -42,6 +45,7 @@
   // Arrivals by slice, and starts, fading from window to window.
   std::array<double, kLevels> arrivals{};
   double starts = 0;
+  double capacity = 0;
 };
 
 }  // namespace agaterun::decision
--- a/libraries/decision/concurrency_limit.cc
+++ b/libraries/decision/concurrency_limit.cc
@@ -9,7 +9,7 @@
 namespace {
 
 // A probe changes the limit by this part of itself.
-constexpr double kStep = 0.25;
+constexpr double kStep = 0.5;
 
 // The published slots may be wrong by this factor either way.
 constexpr int kHintError = 2;
@@ -17,10 +17,10 @@
 constexpr int kLeastSamples = 16;
 
 // A probe without a verdict by then ends without one.
-constexpr int kMostSamples = 400;
+constexpr int kMostSamples = 100;
 
 // Standard errors that a verdict must stand clear by.
-constexpr double kConfidence = 2.5;
+constexpr double kConfidence = 2;
 
 // Growth of own time per growth of the limit that tells flat from steep; the
 // two ideal cases are 0 and 1.
@@ -31,18 +31,29 @@
 constexpr double kChangedSlope = 2.5;
 
 // Own times up to this multiple of the unloaded one are normal.
-constexpr double kNormal = 1.3;
+constexpr double kNormal = 1.15;
+
+// A limit that is too high by kHintError makes own times grow by so much at
+// most. Longer ones have another cause, which a lower limit would not cure.
+constexpr double kTooHighLeast = 1.3;
+constexpr double kTooHighMost = 2.2;
+
+// One request in so many that misses its deadline while it runs is too much.
+constexpr int kManyAborted = 4;
 
 constexpr Duration kShortestRest = 500ms;
 constexpr Duration kLongestRest = 8s;
 
+// A probe that demand does not fill ends after this time.
+constexpr Duration kLongestProbe = 3s;
+
 // Without pressure for so long, what was learned is taken as outdated.
 constexpr Duration kForgottenAfter = 30s;
 
 constexpr Duration kShedInterval = 100ms;
 constexpr double kShedFactor = 0.9;
 
-constexpr double kUnloadedSmoothing = 0.05;
+constexpr double kUnloadedSmoothing = 0.02;
 
 // Own times of a new limit show after the requests of the old one are gone.
 constexpr int kSettlingTimes = 2;
@@ -90,15 +101,8 @@
             ? seconds
             : this->unloaded + kUnloadedSmoothing * (seconds - this->unloaded);
   }
-  if (running * 10 < this->limit * 9) {
-    // The limit does not bind: there is nothing to learn about it, and what
-    // was begun can't be compared with what comes later.
-    if (now - this->last_saturated > kForgottenAfter) {
-      const double kept = this->unloaded;
-      this->Restart();
-      this->unloaded = kept;
-      this->last_saturated = now;
-    }
+  if (running < this->limit) {
+    this->OnUnsaturated(now);
     return;
   }
   this->last_saturated = now;
@@ -108,7 +112,10 @@
   auto& sample =
       this->phase == Phase::kHold ? this->base_sample : this->probe_sample;
   sample.Add(seconds);
-  if (sample.Count() < kLeastSamples) {
+  // Requests that were started together end together. A sample that spans one
+  // own time has seen all of such a round, not only its quick part.
+  if (sample.Count() < kLeastSamples ||
+      ToSeconds(now - this->settled_at) < sample.Mean()) {
     return;
   }
   switch (this->phase) {
@@ -124,6 +131,33 @@
   }
 }
 
+void ConcurrencyLimit::OnAborted(Instant now, Duration own, int running) {
+  if (!this->options.adaptive || running < this->limit ||
+      now < this->settled_at) {
+    return;
+  }
+  if (this->phase == Phase::kAbove) {
+    // Requests cut off at their deadline make own time look flat.
+    this->Rest(now);
+    return;
+  }
+  this->aborted += this->phase == Phase::kHold ? 1 : 0;
+  this->OnFinished(now, own, running);
+}
+
+void ConcurrencyLimit::OnUnsaturated(Instant now) {
+  // The limit does not bind: there is nothing to learn about it.
+  if (this->phase != Phase::kHold && now - this->settled_at > kLongestProbe) {
+    this->Rest(now);
+  }
+  if (now - this->last_saturated > kForgottenAfter) {
+    const double kept = this->unloaded;
+    this->Restart();
+    this->unloaded = kept;
+    this->last_saturated = now;
+  }
+}
+
 void ConcurrencyLimit::EnterHold(Instant now) {
   const double mean =
       std::max(this->base_sample.Mean(), this->probe_sample.Mean());
@@ -131,6 +165,7 @@
   this->limit = this->base;
   this->base_sample = {};
   this->probe_sample = {};
+  this->aborted = 0;
   this->settled_at =
       now + std::chrono::duration_cast<Duration>(
                 std::chrono::duration<double>(kSettlingTimes * mean));
@@ -182,23 +217,44 @@
   if (this->base_sample.Count() >= kMostSamples) {
     // Old values would hide a change of the backend server.
     this->base_sample = {};
+    this->aborted = 0;
     return;
   }
   if (now < this->rest_until) {
     return;
   }
-  const bool normal = this->unloaded > 0 &&
-                      this->base_sample.Mean() <= kNormal * this->unloaded;
-  if (!normal && this->Below() < this->base) {
+  if (this->MayBeTooHigh(this->base_sample) && this->Below() < this->base) {
     this->EnterProbe(now, Phase::kBelow);
   } else if (this->Above() > this->base) {
     this->EnterProbe(now, Phase::kAbove);
   }
 }
 
+bool ConcurrencyLimit::MayBeTooHigh(const OwnTimeSample& sample) const {
+  if (this->aborted * kManyAborted > sample.Count()) {
+    return true;
+  }
+  if (this->unloaded <= 0) {
+    return false;
+  }
+  const double ratio = sample.Mean() / this->unloaded;
+  const double error = kConfidence * std::sqrt(sample.RelativeVariance());
+  return ratio * (1 - error) >= kTooHighLeast && ratio <= kTooHighMost;
+}
+
+bool ConcurrencyLimit::IsNormal(const OwnTimeSample& sample) const {
+  const double error = std::sqrt(sample.RelativeVariance());
+  return this->unloaded > 0 &&
+         sample.Mean() * (1 + error) <= kNormal * this->unloaded;
+}
+
 void ConcurrencyLimit::EndAbove(Instant now) {
   const bool last = this->probe_sample.Count() >= kMostSamples;
-  switch (this->Compare(this->base_sample, this->probe_sample)) {
+  const auto verdict =
+      this->IsNormal(this->probe_sample)
+          ? Verdict::kFlat
+          : this->Compare(this->base_sample, this->probe_sample);
+  switch (verdict) {
     case Verdict::kFlat:
       this->base = this->limit;
       this->base_sample = this->probe_sample;
@@ -226,23 +282,10 @@
   switch (this->Compare(this->probe_sample, this->base_sample)) {
     case Verdict::kSteep:
       this->base = this->limit;
-      this->base_sample = this->probe_sample;
       this->rest = kShortestRest;
-      if (this->Below() < this->base) {
-        this->EnterProbe(now, Phase::kBelow);
-      } else {
-        this->Rest(now);
-      }
+      this->EnterHold(now);
       return;
     case Verdict::kFlat:
-      // Not the concurrency makes it slow: the way up may be open.
-      this->limit = this->base;
-      if (this->Above() > this->base) {
-        this->EnterProbe(now, Phase::kAbove);
-      } else {
-        this->Rest(now);
-      }
-      return;
     case Verdict::kChanged:
       this->Rest(now);
       return;
--- a/libraries/decision/concurrency_limit.h
+++ b/libraries/decision/concurrency_limit.h
@@ -28,6 +28,9 @@
   // A request ended after `own` time, while `running` ran, itself included.
   void OnFinished(Instant now, Duration own, int running);
 
+  // A request was given up after `own` time, while `running` ran.
+  void OnAborted(Instant now, Duration own, int running);
+
   // The backend server itself refused a request for want of room.
   void OnShed(Instant now);
 
@@ -44,6 +47,7 @@
   enum class Verdict : std::uint8_t { kUndecided, kFlat, kSteep, kChanged };
 
   void Restart();
+  void OnUnsaturated(Instant now);
   void EnterHold(Instant now);
   void EnterProbe(Instant now, Phase phase);
   void EndHold(Instant now);
@@ -51,6 +55,8 @@
   void EndBelow(Instant now);
   void Rest(Instant now);
   Verdict Compare(const OwnTimeSample& low, const OwnTimeSample& high) const;
+  bool MayBeTooHigh(const OwnTimeSample& sample) const;
+  bool IsNormal(const OwnTimeSample& sample) const;
   int Above() const;
   int Below() const;
 
@@ -63,6 +69,7 @@
   Duration rest;
   OwnTimeSample base_sample;
   OwnTimeSample probe_sample;
+  int aborted = 0;      // Of the base sample, cut off at their deadline.
   double unloaded = 0;  // Own time at half the limit or less, in seconds.
   Instant last_saturated{};
   Instant last_shed{};
--- a/libraries/decision/gate.cc
+++ b/libraries/decision/gate.cc
@@ -4,19 +4,6 @@
 
 namespace agaterun::decision {
 
-namespace {
-
-Admission::Candidate CandidateOf(const VisitRequest& request,
-                                 Instant deadline) {
-  return {.route = request.route,
-          .share = request.share,
-          .importance = request.importance,
-          .admission_key = request.admission_key,
-          .deadline = deadline};
-}
-
-}  // namespace
-
 Gate::Gate(Options options, RandomSource& random)
     : options(std::move(options)),
       state(std::make_shared<TicketState>()),
@@ -126,6 +113,9 @@
   }
   const auto decision = this->admission.Decide(now, candidate);
   if (decision.verdict == Admission::Verdict::kRefuse) {
+    if (decision.reason == Reason::kOverloaded) {
+      this->RefuseLessImportant(now, request.importance, actions);
+    }
     this->Refuse(now, event, decision.reason, actions);
     return;
   }
--- a/libraries/decision/gate.h
+++ b/libraries/decision/gate.h
@@ -124,6 +124,10 @@
               const VisitArrived& event,
               Reason reason,
               Actions& actions);
+  // Refuses queued visits of the classes below `importance`.
+  void RefuseLessImportant(Instant now,
+                           Importance importance,
+                           Actions& actions);
   // A visit that was not run gets its last word.
   void EndNotRun(Instant now, VisitId id, Reason reason, Actions& actions);
   // A running visit's outcome can't be told any more.
--- a/libraries/decision/gate_endings.cc
+++ b/libraries/decision/gate_endings.cc
@@ -30,6 +30,15 @@
               actions);
 }
 
+void Gate::RefuseLessImportant(Instant now,
+                               Importance importance,
+                               Actions& actions) {
+  // What is less important than a refused request does not go before it.
+  while (const auto id = this->admission.LessImportant(importance)) {
+    this->EndNotRun(now, *id, Reason::kOverloaded, actions);
+  }
+}
+
 void Gate::EndNotRun(Instant now, VisitId id, Reason reason, Actions& actions) {
   const auto& visit = *this->visits.Find(id);
   this->admission.Remove(id);
@@ -50,7 +59,8 @@
                       Reason reason,
                       Actions& actions) {
   const auto& visit = *this->visits.Find(id);
-  this->admission.OnAborted(now, visit.request.route, visit.time.Total(now));
+  this->admission.OnAborted(now, visit.request.route, visit.time.Total(now),
+                            visit.time.Own(now));
   if (const auto& binding = visit.request.binding; binding) {
     this->bindings.Lose(*binding);
   }
@@ -135,6 +145,12 @@
   switch (visit.phase) {
     case VisitPhase::kQueued:
       this->admission.OnOverload(now);
+      if (const auto candidate = CandidateOf(visit.request, visit.deadline);
+          this->admission.MayWaitOn(now, candidate)) {
+        this->visits.SetDue(id, this->admission.QueuedUntil(now, candidate));
+        return;
+      }
+      this->RefuseLessImportant(now, visit.request.importance, actions);
       this->EndNotRun(now, id,
                       visit.deadline <= now ? Reason::kDeadlineExceeded
                                             : Reason::kOverloaded,
--- /dev/null
+++ b/tests/decision/virtual_backend.h
@@ -0,0 +1,99 @@
+#ifndef TESTS_DECISION_VIRTUAL_BACKEND_H_
+#define TESTS_DECISION_VIRTUAL_BACKEND_H_
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "libraries/base/random.h"
+#include "libraries/decision/events.h"
+
+namespace agaterun::decision {
+
+// A backend server on virtual time: it runs `slots` requests at once, and the
+// rest of what it was given waits inside it, first come first served.
+class VirtualBackend {
+ public:
+  struct Options {
+    int slots = 10;
+    Duration service_time = 100ms;
+    // 0: all alike; 1: exponential; between: that part of it is exponential.
+    double variation = 0;
+  };
+
+  VirtualBackend(const Options& options, RandomSource& random)
+      : options(options), random(random) {}
+
+  void SetSlowdown(double factor) { this->slowdown = factor; }
+
+  void Start(Instant now, VisitId visit) {
+    this->waiting.push_back(visit);
+    this->Fill(now);
+  }
+
+  void Abort(Instant now, VisitId visit) {
+    std::erase(this->waiting, visit);
+    std::erase_if(this->running,
+                  [&](const auto& run) { return run.second.visit == visit; });
+    this->Fill(now);
+  }
+
+  std::optional<Instant> NextEnd() const {
+    if (this->running.empty()) {
+      return std::nullopt;
+    }
+    return this->running.begin()->first;
+  }
+
+  // Takes out the request that ended first.
+  VisitId End() {
+    const auto first = this->running.begin();
+    const auto [visit, started] = first->second;
+    const Instant now = first->first;
+    this->running.erase(first);
+    this->busy += now - started;
+    this->Fill(now);
+    return visit;
+  }
+
+  // Slot time that whole requests took.
+  Duration Busy() const { return this->busy; }
+
+ private:
+  struct Run {
+    VisitId visit;
+    Instant started{};
+  };
+
+  void Fill(Instant now) {
+    while (!this->waiting.empty() &&
+           this->running.size() <
+               static_cast<std::size_t>(this->options.slots)) {
+      const VisitId visit = this->waiting.front();
+      this->waiting.pop_front();
+      const double exponential = -std::log(1 - this->random.Unit());
+      const double factor =
+          1 - this->options.variation + this->options.variation * exponential;
+      const auto time = std::chrono::duration_cast<Duration>(
+          this->options.service_time * this->slowdown * factor);
+      this->running.emplace(now + std::max<Duration>(time, 1us),
+                            Run{visit, now});
+    }
+  }
+
+  Options options;
+  RandomSource& random;
+  double slowdown = 1;
+  std::deque<VisitId> waiting;
+  std::multimap<Instant, Run> running;
+  Duration busy{};
+};
+
+}  // namespace agaterun::decision
+
+#endif  // TESTS_DECISION_VIRTUAL_BACKEND_H_
