Decision: Keep thresholds down while slots are full, share news of a service

Two causes, seen in counters of each hop and in a timeline of the gates: (1) a gate reopened all classes within seven windows without a refusal, although calm only showed that the threshold worked; the level swung between cut and open. (2) each route of each node let a probe through every 50 ms: 13 nodes and 3 routes made up to 780 probes a second for a service that could run 250. Ruled out: stale news on answers; the level at the entries followed the gate's. Change: the level rises fast only while less than half of the slots are taken, a step at a time below nine tenths, not at all when they are full; requests that came in before a fall don't lower it again; news of a service holds for all routes that lead there, and there are no probes but the rise itself. The mix had more critical work than the slowed ledger can run; it has half as much now.

--- a/libraries/decision/admission.cc
+++ b/libraries/decision/admission.cc
@@ -96,7 +96,8 @@
   if (this->queue.Size() < this->QueueCapacity(now)) {
     return {.verdict = Verdict::kQueue};
   }
-  this->threshold.OnOverload(now);
+  this->threshold.OnOverload(now, candidate.importance,
+                             candidate.admission_key);
   if (!this->Enabled(Mechanism::kDisplacement)) {
     return {.reason = Reason::kOverloaded};
   }
@@ -168,6 +169,7 @@
 void Admission::OnStart(Instant now) {
   ++this->running;
   this->threshold.OnStart(now);
+  this->threshold.OnRunning(now, this->running, this->Limit());
   this->retry_after.OnStart(now);
 }
 
@@ -181,7 +183,7 @@
     this->threshold.SetCapacity(this->limit.Limit() / ToSeconds(service));
   }
   this->limit.OnFinished(now, own, this->running);
-  --this->running;
+  this->FreeSlot(now);
 }
 
 void Admission::OnAborted(Instant now,
@@ -190,15 +192,20 @@
                           Duration own) {
   this->service_times.AddUnfinished(now, route, total);
   this->limit.OnAborted(now, own, this->running);
-  --this->running;
+  this->FreeSlot(now);
 }
 
 void Admission::OnNotRun(Instant now, bool shed) {
   if (shed) {
     this->limit.OnShed(now);
-    this->threshold.OnOverload(now);
+    this->threshold.OnShed(now);
   }
+  this->FreeSlot(now);
+}
+
+void Admission::FreeSlot(Instant now) {
   --this->running;
+  this->threshold.OnRunning(now, this->running, this->Limit());
 }
 
 Duration Admission::RetryAfterRefusal(Instant now) {
--- a/libraries/decision/admission.h
+++ b/libraries/decision/admission.h
@@ -94,7 +94,9 @@
   // Not run by the backend server, which said so when `shed`.
   void OnNotRun(Instant now, bool shed);
   // A queued visit was refused or waited too long.
-  void OnOverload(Instant now) { this->threshold.OnOverload(now); }
+  void OnOverload(Instant now, Importance importance, std::uint16_t key) {
+    this->threshold.OnOverload(now, importance, key);
+  }
 
   // When a refused caller should come back.
   Duration RetryAfterRefusal(Instant now);
@@ -109,6 +111,7 @@
     return !this->options.disabled.Has(mechanism);
   }
   bool HasFreeSlot(Instant now, Importance importance, std::uint16_t key);
+  void FreeSlot(Instant now);
   double WeightOf(std::string_view share) const;
   // Queued visits that can get a slot within the queue time.
   std::size_t QueueCapacity(Instant now) const;
--- a/libraries/decision/admission_threshold_controller.cc
+++ b/libraries/decision/admission_threshold_controller.cc
@@ -15,6 +15,18 @@
 // Admitted beyond what was started, so that slots never lack work.
 constexpr double kHeadroom = 1.05;
 
+// Below this share of slots taken the level rises faster and faster: what held
+// it down is over.
+constexpr double kIdleShare = 0.5;
+
+// Below this share it rises a step at a time. From it on the slots are as good
+// as full, and calm only shows that the level does its work.
+constexpr double kSpareShare = 0.9;
+
+// Windows between such steps: what a step lets in is seen here only after the
+// entries heard of it and sent it through their whole path.
+constexpr int kWindowsPerStep = 6;
+
 // Windows after which nothing of the counts is left.
 constexpr int kForgottenAfter = 64;
 
@@ -35,13 +47,36 @@
   this->starts += 1;
 }
 
-void AdmissionThresholdController::OnOverload(Instant now) {
+void AdmissionThresholdController::OnRunning(Instant now,
+                                             int running,
+                                             int limit) {
+  this->Advance(now);
+  this->share_taken =
+      limit > 0 ? std::min(1.0, static_cast<double>(running) / limit) : 1.0;
+}
+
+void AdmissionThresholdController::OnOverload(Instant now,
+                                              Importance importance,
+                                              std::uint16_t key) {
+  this->Advance(now);
+  // Requests that came before the level fell still wait and run out of time.
+  // Were they counted, the level would fall twice for one overload.
+  if (Admits(this->InForce(), importance, key)) {
+    this->overloaded = true;
+  }
+}
+
+void AdmissionThresholdController::OnShed(Instant now) {
   this->Advance(now);
   this->overloaded = true;
 }
 
 AdmissionThreshold AdmissionThresholdController::Threshold(Instant now) {
   this->Advance(now);
+  return this->InForce();
+}
+
+AdmissionThreshold AdmissionThresholdController::InForce() const {
   if (this->level == kLevels) {
     return AdmissionThreshold{};
   }
@@ -54,14 +89,27 @@
 
 void AdmissionThresholdController::Advance(Instant now) {
   if (now - this->window_end > kForgottenAfter * kWindow) {
+    const double capacity = this->capacity;
+    const double share_taken = this->share_taken;
     *this = AdmissionThresholdController{};
+    this->capacity = capacity;
+    this->share_taken = share_taken;
     this->window_end = now + kWindow;
+    this->counted_until = now;
     return;
   }
   while (now >= this->window_end) {
+    this->CountBusy(this->window_end);
     this->CloseWindow();
     this->window_end += kWindow;
   }
+  this->CountBusy(now);
+}
+
+void AdmissionThresholdController::CountBusy(Instant now) {
+  this->busy += std::chrono::duration_cast<Duration>(
+      (now - this->counted_until) * this->share_taken);
+  this->counted_until = now;
 }
 
 void AdmissionThresholdController::CloseWindow() {
@@ -71,6 +119,7 @@
     this->Raise();
   }
   this->overloaded = false;
+  this->busy = Duration{};
   this->starts *= kFading;
   for (auto& count : this->arrivals) {
     count *= kFading;
@@ -103,9 +152,25 @@
 
 void AdmissionThresholdController::Raise() {
   // What the entry refuses is not seen here, so the demand above the level is
-  // unknown. Doubling reopens all levels within seven calm windows.
-  this->level = std::min(kLevels, this->level + this->raise);
-  this->raise = std::min(kLevels, this->raise * 2);
+  // unknown; only slots that stand free say that more of it fits.
+  ++this->windows_since_raise;
+  const double taken = ToSeconds(this->busy) / ToSeconds(kWindow);
+  if (taken < kIdleShare) {
+    // Doubling reopens all levels within seven windows.
+    this->level = std::min(kLevels, this->level + this->raise);
+    this->raise = std::min(kLevels, this->raise * 2);
+    this->windows_since_raise = 0;
+    return;
+  }
+  this->raise = 1;
+  if (taken < kSpareShare && this->windows_since_raise >= kWindowsPerStep) {
+    // Within one class the demand is in proportion to the slices admitted.
+    const int in_class = (this->level - 1) % kSlices + 1;
+    const auto fitting = static_cast<int>(in_class * kSpareShare / taken);
+    const int step = std::max(1, fitting - in_class);
+    this->level = std::min(kLevels, this->level + step);
+    this->windows_since_raise = 0;
+  }
 }
 
 }  // namespace agaterun::decision
--- a/libraries/decision/admission_threshold_controller.h
+++ b/libraries/decision/admission_threshold_controller.h
@@ -22,8 +22,15 @@
   // Requests per second that the slots can run, by their service times.
   void SetCapacity(double per_second) { this->capacity = per_second; }
 
-  // A request was refused for want of a slot, or waited too long for one.
-  void OnOverload(Instant now);
+  // From now on `running` of `limit` slots are taken.
+  void OnRunning(Instant now, int running, int limit);
+
+  // A request was refused for want of a slot, or waited too long for one. One
+  // that the threshold refuses by now says nothing new.
+  void OnOverload(Instant now, Importance importance, std::uint16_t key);
+
+  // The backend server itself refused a request.
+  void OnShed(Instant now);
 
   AdmissionThreshold Threshold(Instant now);
 
@@ -33,11 +40,18 @@
   static constexpr int kLevels = kSlices * kImportanceCount;
 
   void Advance(Instant now);
+  // Counts the slots as taken up to `now`, within one window.
+  void CountBusy(Instant now);
   void CloseWindow();
   void Lower();
+  AdmissionThreshold InForce() const;
   void Raise();
 
   Instant window_end{};
+  Instant counted_until{};
+  double share_taken = 0;  // Of the slots, now.
+  Duration busy{};         // Time in the window, weighted by it.
+  int windows_since_raise = 0;
   bool overloaded = false;
   // Slices that are admitted, counted from the most important.
   int level = kLevels;
--- a/libraries/decision/gate_endings.cc
+++ b/libraries/decision/gate_endings.cc
@@ -144,7 +144,8 @@
   const auto& visit = *this->visits.Find(id);
   switch (visit.phase) {
     case VisitPhase::kQueued:
-      this->admission.OnOverload(now);
+      this->admission.OnOverload(now, visit.request.importance,
+                                 visit.request.admission_key);
       if (const auto candidate = CandidateOf(visit.request, visit.deadline);
           this->admission.MayWaitOn(now, candidate)) {
         this->visits.SetDue(id, this->admission.QueuedUntil(now, candidate));
--- a/libraries/decision/node.h
+++ b/libraries/decision/node.h
@@ -47,6 +47,10 @@
   const std::shared_ptr<const TicketState>& State() const;
   const PeerTable& Peers() const { return this->peers; }
   const Gate& GateSide() const { return this->gate; }
+  // What the gate admits at `now`.
+  AdmissionThreshold Threshold(Instant now) {
+    return this->gate.Threshold(now);
+  }
   const Origin& OriginSide() const { return this->origin; }
   const TicketSpread& Spread() const { return this->spread; }
   bool IsStopping() const { return this->stopping; }
--- a/libraries/decision/path_thresholds.cc
+++ b/libraries/decision/path_thresholds.cc
@@ -15,12 +15,12 @@
 constexpr Duration kHold = 200ms;
 
 // Time in which a threshold without news rises from nothing to everything.
-// Together with kHold it is well below one second, the bound on recovery.
+// Together with kHold it is well below one second, the bound on recovery. The
+// rise is the probe: what it lets through brings news. Probes of their own, one
+// per route and node in so many milliseconds, add up over all nodes to more
+// than a deep service can take.
 constexpr Duration kFullRise = 600ms;
 
-// One request per interval passes a route without news, to bring some.
-constexpr Duration kProbeInterval = 50ms;
-
 // Weight of an answer. Gates of one service differ; a route's level follows
 // their mean, since the picker spreads the route's requests over all.
 constexpr double kNewsWeight = 0.5;
@@ -51,8 +51,7 @@
   return key;
 }
 
-// The route's entry in `routes`, or nullptr. Nothing is shed in normal times;
-// the key is not even built then.
+// The route's entry in `routes`, or nullptr.
 template <typename Routes>
 auto FindIn(Routes& routes, std::string_view service, std::string_view route)
     -> decltype(&routes.begin()->second) {
@@ -85,18 +84,39 @@
   return FindIn(this->routes, service, route);
 }
 
-PathThresholds::Level* PathThresholds::LevelOf(Route& route,
-                                               const std::string& service) {
-  for (auto& level : route.levels) {
-    if (level.service == service) {
-      return &level;
+void PathThresholds::LearnLevel(Instant now,
+                                const std::string& service,
+                                AdmissionThreshold threshold) {
+  const double told = ToLevel(threshold);
+  const auto found = this->levels.find(service);
+  if (found == this->levels.end()) {
+    if (told < kAdmitsAll && this->levels.size() < this->options.most_routes) {
+      this->levels[service] = {
+          .value = kAdmitsAll + kNewsWeight * (told - kAdmitsAll), .told = now};
     }
+    return;
   }
-  if (route.levels.size() >= this->options.most_services) {
-    return nullptr;
+  auto& level = found->second;
+  const double before = InForce(now, level);
+  // A gate that admits everything has slots to spare; the way up is as fast as
+  // the way down.
+  const double weight = told < kAdmitsAll ? kNewsWeight : 1;
+  level = {.value = before + weight * (told - before), .told = now};
+  // What admits everything again is forgotten, so the table stays small.
+  if (level.value > kAdmitsAll - 1) {
+    this->levels.erase(found);
+  }
+}
+
+void PathThresholds::LearnPath(Route& route,
+                               const ServiceThresholds& thresholds) const {
+  for (const auto& [service, threshold] : thresholds) {
+    const bool is_new = std::find(route.path.begin(), route.path.end(),
+                                  service) == route.path.end();
+    if (is_new && route.path.size() < this->options.most_services) {
+      route.path.push_back(service);
+    }
   }
-  route.levels.push_back({.service = service, .value = kAdmitsAll});
-  return &route.levels.back();
 }
 
 void PathThresholds::Learn(Instant now,
@@ -104,39 +124,24 @@
                            std::string_view route,
                            const ServiceThresholds& thresholds,
                            Duration retry_after) {
-  const bool strict = std::any_of(
-      thresholds.begin(), thresholds.end(),
-      [](const auto& pair) { return ToLevel(pair.second) < kAdmitsAll; });
-  auto* entry = this->Find(service, route);
-  if (entry == nullptr) {
-    if (!strict || this->routes.size() >= this->options.most_routes) {
+  auto* known = this->Find(service, route);
+  if (known == nullptr) {
+    if (this->routes.size() >= this->options.most_routes) {
       return;
     }
-    entry = &this->routes[KeyOf(service, route)];
+    known = &this->routes[KeyOf(service, route)];
   }
-  auto& known = *entry;
-  known.told = now;
+  this->LearnPath(*known, thresholds);
   if (retry_after > Duration{}) {
-    known.retry_after =
-        known.retry_after == Duration{}
+    known->retry_after =
+        known->retry_after == Duration{}
             ? retry_after
-            : known.retry_after +
+            : known->retry_after +
                   std::chrono::duration_cast<Duration>(
-                      (retry_after - known.retry_after) * kRetryAfterWeight);
+                      (retry_after - known->retry_after) * kRetryAfterWeight);
   }
   for (const auto& [name, threshold] : thresholds) {
-    if (auto* level = this->LevelOf(known, name); level != nullptr) {
-      const double before = InForce(now, *level);
-      level->value = before + kNewsWeight * (ToLevel(threshold) - before);
-      level->told = now;
-    }
-  }
-  // What admits everything again is forgotten, so the table stays small.
-  std::erase_if(known.levels, [&](const auto& level) {
-    return InForce(now, level) > kAdmitsAll - 1;
-  });
-  if (known.levels.empty()) {
-    this->routes.erase(KeyOf(service, route));
+    this->LearnLevel(now, name, threshold);
   }
 }
 
@@ -146,22 +151,23 @@
                                                Importance importance,
                                                std::uint16_t admission_key,
                                                RandomSource& random) {
-  auto* known = this->Find(service, route);
+  if (this->levels.empty()) {
+    return {};
+  }
+  const auto* known = this->Find(service, route);
   if (known == nullptr) {
     return {};
   }
   double lowest = kAdmitsAll;
-  for (const auto& level : known->levels) {
-    lowest = std::min(lowest, InForce(now, level));
+  for (const auto& name : known->path) {
+    if (const auto level = this->levels.find(name);
+        level != this->levels.end()) {
+      lowest = std::min(lowest, InForce(now, level->second));
+    }
   }
   if (Admits(ToThreshold(lowest), importance, admission_key)) {
     return {};
   }
-  const auto latest_news = std::max(known->told, known->last_probe);
-  if (now - latest_news >= kProbeInterval) {
-    known->last_probe = now;
-    return {};
-  }
   const auto base = known->retry_after == Duration{} ? kDefaultRetryAfter
                                                      : known->retry_after;
   // Spread over one and a half of it, so that returns do not come together.
@@ -178,8 +184,14 @@
   if (known == nullptr) {
     return thresholds;
   }
-  for (const auto& level : known->levels) {
-    thresholds.emplace_back(level.service, ToThreshold(InForce(now, level)));
+  for (const auto& name : known->path) {
+    if (const auto level = this->levels.find(name);
+        level != this->levels.end()) {
+      const double value = InForce(now, level->second);
+      if (value < kAdmitsAll) {
+        thresholds.emplace_back(name, ToThreshold(value));
+      }
+    }
   }
   return thresholds;
 }
--- a/libraries/decision/path_thresholds.h
+++ b/libraries/decision/path_thresholds.h
@@ -17,7 +17,8 @@
     std::vector<std::pair<std::string, AdmissionThreshold>>;
 
 // What the paths behind the routes admit, as answers told it, so that a
-// request which a deep service would refuse is refused before any work.
+// request which a deep service would refuse is refused before any work. News of
+// a service, by whatever route it came, holds for all routes that lead there.
 class PathThresholds {
  public:
   struct Options {
@@ -56,27 +57,26 @@
 
  private:
   struct Level {
-    std::string service;
     double value = 0;  // Classes and keys admitted, in keys.
     Instant told{};
   };
 
   struct Route {
-    std::vector<Level> levels;
+    std::vector<std::string> path;  // Services that answers came by.
     Duration retry_after{};
-    Instant told{};
-    Instant last_probe{};
   };
 
   static double InForce(Instant now, const Level& level);
   const Route* Find(std::string_view service, std::string_view route) const;
   Route* Find(std::string_view service, std::string_view route);
 
-  // The level of one service on the route's path, made when it is new;
-  // nullptr when the path has too many.
-  Level* LevelOf(Route& route, const std::string& service);
+  void LearnLevel(Instant now,
+                  const std::string& service,
+                  AdmissionThreshold threshold);
+  void LearnPath(Route& route, const ServiceThresholds& thresholds) const;
 
   Options options;
+  std::unordered_map<std::string, Level> levels;  // By service; strict ones.
   std::unordered_map<std::string, Route> routes;  // By service and route name.
 };
 
--- a/libraries/driver/state_dump.cc
+++ b/libraries/driver/state_dump.cc
@@ -27,6 +27,14 @@
           {"backend_up", load.backend_up}};
 }
 
+// The least important class that is admitted, and the share of it that is.
+json DumpThreshold(decision::AdmissionThreshold threshold) {
+  return {{"least_importance",
+           NameOf(decision::kImportanceNames, threshold.cutoff)},
+          {"share_of_it",
+           static_cast<double>(threshold.keys) / decision::kAdmissionKeys}};
+}
+
 json DumpPeers(const decision::PeerTable& peers, Instant now) {
   json dump = json::array();
   for (const auto& [address, peer] : peers.All()) {
@@ -59,7 +67,7 @@
 
 std::string DumpState(const NodeSettings& settings,
                       std::uint64_t incarnation,
-                      const decision::Node& node,
+                      decision::Node& node,
                       ConnectionCounts connections,
                       Instant now) {
   const auto& state = *node.State();
@@ -75,6 +83,7 @@
       {"gate",
        {{"service", settings.service},
         {"visits", node.GateSide().VisitsInFlight()},
+        {"admits", DumpThreshold(node.Threshold(now))},
         {"load", DumpLoad(node.GateSide().Load())}}},
       {"origin", {{"calls", node.OriginSide().CallsInFlight()}}},
       {"connections",
--- a/libraries/driver/state_dump.h
+++ b/libraries/driver/state_dump.h
@@ -21,7 +21,7 @@
 // The state of one node as an indented JSON object. Times are milliseconds.
 std::string DumpState(const NodeSettings& settings,
                       std::uint64_t incarnation,
-                      const decision::Node& node,
+                      decision::Node& node,
                       ConnectionCounts connections,
                       Instant now);
 
--- a/meta/region.py
+++ b/meta/region.py
@@ -334,14 +334,14 @@
 target = /vault/audio/3
 importance = normal
 idempotent = yes
-weight = 20
+weight = 25
 timeout_ms = 2000
 [request pull-archive]
 method = GET
 target = /vault/archive/9
 importance = background
 idempotent = yes
-weight = 15
+weight = 20
 timeout_ms = 2000
 [request send-packet]
 method = POST
@@ -349,7 +349,7 @@
 body = packet
 importance = critical
 idempotent = no
-weight = 10
+weight = 5
 timeout_ms = 2000
 [request invoice]
 method = POST
@@ -357,7 +357,7 @@
 body = invoice
 importance = critical
 idempotent = no
-weight = 10
+weight = 5
 timeout_ms = 2000
 """,
     "sodcek": """\
--- /dev/null
+++ b/tests/decision/admission_threshold_controller_test.cc
@@ -0,0 +1,94 @@
+#include "libraries/decision/admission_threshold_controller.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace agaterun::decision {
+
+namespace {
+
+constexpr Duration kStep = 10ms;
+constexpr int kSlots = 10;
+
+// Feeds a steady demand of 10 normal requests per step, of which `capacity`
+// are started; the rest is refused while the threshold admits it.
+struct Demand {
+  void Run(Duration length, int capacity, int running) {
+    for (Duration gone{}; gone < length; gone += kStep, this->now += kStep) {
+      this->controller.OnRunning(this->now, running, kSlots);
+      int started = 0;
+      for (int request = 0; request < 10; ++request) {
+        const auto key =
+            static_cast<std::uint16_t>(this->next_key++ * 37 % kAdmissionKeys);
+        // What the threshold refuses is refused at the entry and not seen.
+        if (!Admits(this->controller.Threshold(this->now), Importance::kNormal,
+                    key)) {
+          continue;
+        }
+        this->controller.OnArrival(this->now, Importance::kNormal, key);
+        if (started < capacity) {
+          ++started;
+          this->controller.OnStart(this->now);
+        } else {
+          this->controller.OnOverload(this->now, Importance::kNormal, key);
+        }
+      }
+    }
+  }
+
+  Instant now = 1s;
+  int next_key = 0;
+  AdmissionThresholdController controller;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(AdmissionThresholdControllerTest)
+
+BOOST_AUTO_TEST_CASE(StaysLowWhileTheSlotsAreFull) {
+  Demand demand;
+  demand.Run(2s, 3, kSlots);
+  int open_steps = 0;
+  constexpr int kSteps = 300;
+  for (int step = 0; step < kSteps; ++step) {
+    demand.Run(kStep, 3, kSlots);
+    const auto threshold = demand.controller.Threshold(demand.now);
+    open_steps += threshold == AdmissionThreshold{} ? 1 : 0;
+  }
+  // Calm windows show that the threshold works, not that the overload ended.
+  BOOST_TEST(open_steps == 0);
+}
+
+BOOST_AUTO_TEST_CASE(OneOverloadLowersItOnce) {
+  Demand demand;
+  demand.Run(1s, 5, kSlots);
+  const auto after = demand.controller.Threshold(demand.now);
+  BOOST_REQUIRE((after.cutoff == Importance::kNormal));
+  // Stragglers that came in before now wait too long, one after the other.
+  for (int straggler = 0; straggler < 50; ++straggler) {
+    demand.now += kStep;
+    demand.controller.OnRunning(demand.now, kSlots, kSlots);
+    demand.controller.OnOverload(demand.now, Importance::kBackground, 255);
+  }
+  BOOST_TEST((demand.controller.Threshold(demand.now) == after));
+}
+
+BOOST_AUTO_TEST_CASE(ReopensWithinHalfASecondOnceSlotsStandFree) {
+  Demand demand;
+  demand.Run(2s, 1, kSlots);
+  BOOST_REQUIRE(
+      (demand.controller.Threshold(demand.now) != AdmissionThreshold{}));
+  demand.Run(500ms, 10, 1);
+  BOOST_TEST((demand.controller.Threshold(demand.now) == AdmissionThreshold{}));
+}
+
+BOOST_AUTO_TEST_CASE(FollowsADemandThatTheSlotsCanTakeAgain) {
+  Demand demand;
+  demand.Run(2s, 1, kSlots);
+  // Slots are busy but not full: it rises a step at a time, up to everything.
+  demand.Run(40s, 10, 7);
+  BOOST_TEST((demand.controller.Threshold(demand.now) == AdmissionThreshold{}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace agaterun::decision
