--- a/libraries/decision/admission.cc
+++ b/libraries/decision/admission.cc
@@ -13,6 +13,9 @@
 // A queue shorter than this would refuse bursts that a free slot can take.
 constexpr std::size_t kLeastQueue = 4;
 
+// Stands for no limit while that is switched off.
+constexpr int kNoLimit = 1 << 20;
+
 // One slot in so many is kept for requests that the threshold admits.
 constexpr int kReservedPart = 8;
 
@@ -36,6 +39,11 @@
   this->weights = std::move(weights);
 }
 
+int Admission::Limit() const {
+  return this->Enabled(Mechanism::kConcurrencyLimit) ? this->limit.Limit()
+                                                     : kNoLimit;
+}
+
 double Admission::WeightOf(std::string_view share) const {
   const auto found = this->weights.find(share);
   if (found == this->weights.end() || !(found->second > 0)) {
@@ -50,7 +58,7 @@
     return kQueueCapacity;
   }
   const double served =
-      ToSeconds(this->queue_time) / ToSeconds(service) * this->limit.Limit();
+      ToSeconds(this->queue_time) / ToSeconds(service) * this->Limit();
   return std::clamp(static_cast<std::size_t>(std::min(served, 1e6)),
                     kLeastQueue, kQueueCapacity);
 }
@@ -102,7 +110,7 @@
 bool Admission::HasFreeSlot(Instant now,
                             Importance importance,
                             std::uint16_t key) {
-  const int limit = this->limit.Limit();
+  const int limit = this->Limit();
   if (Admits(this->Threshold(now), importance, key)) {
     return this->running < limit;
   }
@@ -143,7 +151,7 @@
 }
 
 std::optional<VisitId> Admission::Pop(Instant now) {
-  if (this->running >= this->limit.Limit()) {
+  if (this->running >= this->Limit()) {
     return std::nullopt;
   }
   return this->queue.Pop(now);
