Decision: Forget peers of hosts that were replaced

The table only grew, and membership refuses heartbeats of new hosts once it holds 4096. Peers that no ticket names are dropped when there are more than 1024 of them, those with attempts under way stay.

--- a/libraries/decision/endpoint_picker.cc
+++ b/libraries/decision/endpoint_picker.cc
@@ -1,6 +1,7 @@
 #include "libraries/decision/endpoint_picker.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 #include "libraries/decision/endpoint_score.h"
 
@@ -14,6 +15,9 @@
 // Draws that may hit an unusable candidate before all are looked at.
 constexpr int kBlindDraws = 4;
 
+// Peers that are kept although no ticket names them any more.
+constexpr std::size_t kMostUnnamedPeers = 1024;
+
 }  // namespace
 
 EndpointPicker::EndpointPicker(Options options,
@@ -22,9 +26,24 @@
     : options(std::move(options)), peers(peers), random(random) {}
 
 void EndpointPicker::SetState(const TicketState& state) {
+  std::unordered_set<NodeAddress> named;
+  for (const auto& [name, item] : state.items) {
+    if (!item.service) {
+      continue;
+    }
+    for (const auto& endpoint : item.service->endpoints) {
+      named.insert(endpoint.node);
+    }
+  }
+  // Candidates point to peers, so all are chosen anew.
   std::erase_if(this->groups, [&](const auto& entry) {
     return state.FindService(entry.first) == nullptr;
   });
+  for (auto& [name, group] : this->groups) {
+    group.service.reset();
+    group.candidates.clear();
+  }
+  this->peers.ForgetUnnamed(named, kMostUnnamedPeers);
 }
 
 EndpointPicker::Group& EndpointPicker::GroupOf(
--- a/libraries/decision/endpoint_picker.h
+++ b/libraries/decision/endpoint_picker.h
@@ -31,7 +31,7 @@
   // `peers` and `random` outlive the picker.
   EndpointPicker(Options options, PeerTable& peers, RandomSource& random);
 
-  // Drops what was worked out for services that are no longer in force.
+  // Chooses candidates anew, and forgets services and peers that are gone.
   void SetState(const TicketState& state);
 
   // The node to send the next request of `service` to, or nothing when no
--- a/libraries/decision/endpoint_score.cc
+++ b/libraries/decision/endpoint_score.cc
@@ -95,7 +95,7 @@
 }
 
 bool IsSilent(Instant now, const PeerState& peer) {
-  return peer.in_flight > 0 &&
+  return peer.in_flight > 0 && peer.waiting_since != Instant{} &&
          now - peer.waiting_since >
              std::max<Duration>(kShortestSilence,
                                 kSilentLatencies * peer.latency);
--- a/libraries/decision/peer_table.cc
+++ b/libraries/decision/peer_table.cc
@@ -150,4 +150,16 @@
   }
 }
 
+void PeerTable::ForgetUnnamed(const std::unordered_set<NodeAddress>& named,
+                              std::size_t most_unnamed) {
+  // Hosts are replaced at any time. Those that are gone lately may still be
+  // asked what became of a binding, so the table is not kept at the minimum.
+  if (this->peers.size() <= named.size() + most_unnamed) {
+    return;
+  }
+  std::erase_if(this->peers, [&](const auto& entry) {
+    return entry.second.in_flight == 0 && !named.contains(entry.first);
+  });
+}
+
 }  // namespace agaterun::decision
--- a/libraries/decision/peer_table.h
+++ b/libraries/decision/peer_table.h
@@ -1,8 +1,10 @@
 #ifndef LIBRARIES_DECISION_PEER_TABLE_H_
 #define LIBRARIES_DECISION_PEER_TABLE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "libraries/base/time.h"
 #include "libraries/decision/events.h"
@@ -39,8 +41,8 @@
   Instant last_refused{};
 };
 
-// Peers by address. Bounded: the tickets and the host list name them. States
-// stay where they are, so that readers may keep pointers to them.
+// Peers by address. States stay where they are until ForgetUnnamed, so that
+// readers may keep pointers to them.
 class PeerTable {
  public:
   // The peer's state, made when it is new.
@@ -79,6 +81,11 @@
   // when the peer said nothing all the while.
   void AttemptAbandoned(Instant now, NodeAddress address, Duration elapsed);
 
+  // Forgets peers that are not in `named` and have no attempt under way, once
+  // there are more than `most_unnamed` of them.
+  void ForgetUnnamed(const std::unordered_set<NodeAddress>& named,
+                     std::size_t most_unnamed);
+
   const std::unordered_map<NodeAddress, PeerState>& All() const {
     return this->peers;
   }
--- a/tests/decision/origin_tables_test.cc
+++ b/tests/decision/origin_tables_test.cc
@@ -28,6 +28,20 @@
   BOOST_TEST(!held.Take(1s, NodeOf(1)).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(ReplacedHostsAreForgotten) {
+  OriginFixture fixture;
+  for (int number = 0; number < 2000; ++number) {
+    fixture.peers.Heard(fixture.now, NodeOf(number));
+  }
+  fixture.peers.AttemptStarted(fixture.now, NodeOf(1500));
+  TicketState state;
+  AddTo(state, MakeService("vault", 3));
+  fixture.origin.SetState(std::make_shared<TicketState>(state));
+  // The three that the ticket names, and the one with an attempt under way.
+  BOOST_TEST(fixture.peers.All().size() == 4U);
+  BOOST_TEST(!fixture.Arrive(fixture.MakeCall(1, true)).empty());
+}
+
 BOOST_AUTO_TEST_CASE(NestedKeysAreBoundedAndEndWithTheirVisit) {
   NestedKeys keys({.most_per_visit = 2, .most = 3});
   const VisitId first = {.high = 1};
