Decision: Try a leaving endpoint's address again after a while

Heartbeats reach a bounded set of nodes only. An origin that had heard of a leave by an answer, and got no heartbeat of the host that came after, never used the address again.

--- a/libraries/decision/endpoint_score.cc
+++ b/libraries/decision/endpoint_score.cc
@@ -15,9 +15,11 @@
 // Longest skip once the peer was heard by heartbeat after the loss.
 constexpr Duration kLongestSkipWhenHeard = 200ms;
 
-// Word of a backend server that is down counts this long; then one request may
-// find out.
+// Word of a backend server that is down, or of a gate that is leaving, counts
+// this long; then one request may find out. Another host may have come at the
+// address of one that left, without a heartbeat to this node yet.
 constexpr Duration kBackendDownTrusted = 1s;
+constexpr Duration kLeavingTrusted = 5s;
 
 // A refusal marks an endpoint as full for this long.
 constexpr Duration kRefusalTrusted = 100ms;
@@ -113,11 +115,13 @@
 }  // namespace
 
 Usability UsabilityOf(Instant now, const PeerState& peer) {
-  if (peer.load.leaving || peer.listed_as_leaving) {
+  if (peer.listed_as_leaving) {
     return Usability::kUnusable;
   }
-  if (!peer.load.backend_up) {
-    return now - peer.load_reported < kBackendDownTrusted || peer.in_flight > 0
+  if (peer.load.leaving || !peer.load.backend_up) {
+    const auto trusted =
+        peer.load.leaving ? kLeavingTrusted : kBackendDownTrusted;
+    return now - peer.load_reported < trusted || peer.in_flight > 0
                ? Usability::kUnusable
                : Usability::kProbe;
   }
--- a/tests/decision/endpoint_picker_test.cc
+++ b/tests/decision/endpoint_picker_test.cc
@@ -86,6 +86,10 @@
   const auto counts = fixture.Count(500);
   BOOST_TEST(counts[1] + counts[2] + counts[3] == 0);
   BOOST_TEST(counts[4] > 0);
+  // Another host may have taken the place of one that left.
+  fixture.now += 6s;
+  const auto& left = fixture.peers.At(NodeOf(1));
+  BOOST_TEST((UsabilityOf(fixture.now, left) == Usability::kProbe));
 }
 
 BOOST_AUTO_TEST_CASE(LostEndpointIsSkippedForAGrowingTimeThenProbed) {
