Node: Ends connections so that a planned stop leaves no origin in doubt

Cause: a gate that stops closed its side at once. A visit on its way then ended at its origin as sent and lost, so its outcome was unknown although the gate never ran it.

Change: the gate asks with a closing frame, goes on serving the connection, and the opener closes it once its visits have ended. New visits open another connection, which the stopped gate refuses: not sent. Bounded by the connect timeout.

Conclusion: 200 visits sent across a stop end as answered or as not sent.

--- a/libraries/node/connection.cc
+++ b/libraries/node/connection.cc
@@ -3,7 +3,6 @@
 #include <asio/buffer.hpp>
 #include <asio/post.hpp>
 #include <asio/write.hpp>
-#include <limits>
 #include <utility>
 
 #include "libraries/base/clock.h"
@@ -22,7 +21,6 @@
 // Empty containers past these sizes give their memory back.
 constexpr std::size_t kKeptFrames = 16;
 constexpr std::size_t kKeptBuckets = 64;
-constexpr Instant::rep kNever = std::numeric_limits<Instant::rep>::max();
 
 Instant Now() {
   return MonotonicClock().Now();
@@ -186,7 +184,7 @@
 }
 
 void Connection::Enqueue(OutgoingFrame frame) {
-  if (this->state == State::kClosed || this->state == State::kDraining) {
+  if (this->state == State::kClosed) {
     this->unsent -= frame.bytes.size();
     if (frame.attempt) {
       this->owner->OnVisitLost(*frame.attempt, false);
@@ -261,9 +259,7 @@
     this->NoteActivity();
   }
   this->StartWrite();
-  if (this->state == State::kDraining && !this->write_running) {
-    this->ShutDownSending();
-  }
+  this->CloseIfDone();
 }
 
 bool Connection::FinishVisit(const decision::AttemptId& attempt) {
@@ -273,6 +269,11 @@
   if (this->visits.empty() && this->visits.bucket_count() > kKeptBuckets) {
     this->visits = {};
   }
+  if (this->state == State::kDraining) {
+    // Not at once: the frame that ended the visit is still being read.
+    asio::post(this->strand,
+               [self = this->shared_from_this()] { self->CloseIfDone(); });
+  }
   return true;
 }
 
@@ -292,71 +293,6 @@
   return this->has_peer ? this->peer.ToString() : this->remote_name;
 }
 
-void Connection::RequestClose(CloseCause cause, std::string reason) {
-  this->usable = false;
-  asio::post(this->strand,
-             [self = this->shared_from_this(), cause,
-              reason = std::move(reason)] { self->Close(cause, reason); });
-}
-
-void Connection::RequestDrain() {
-  this->usable = false;
-  asio::post(this->strand,
-             [self = this->shared_from_this()] { self->Drain(); });
-}
-
-void Connection::Drain() {
-  if (this->state == State::kClosed) {
-    return;
-  }
-  if (this->state == State::kConnecting) {
-    this->Close(CloseCause::kStopped, "stopped");
-    return;
-  }
-  this->state = State::kDraining;
-  this->deadline = (Now() + this->options.connect_timeout).count();
-  if (!this->write_running && this->waiting.empty()) {
-    this->ShutDownSending();
-  }
-}
-
-// A close with unread bytes in the buffer would reset the connection and take
-// replies with it that the peer has not read. So the peer closes first.
-void Connection::ShutDownSending() {
-  std::error_code ignored;
-  this->socket.shutdown(tcp::socket::shutdown_send, ignored);
-}
-
-void Connection::Close(CloseCause cause, const std::string& reason) {
-  if (this->state == State::kClosed) {
-    return;
-  }
-  this->close_cause =
-      this->state == State::kDraining ? CloseCause::kStopped : cause;
-  this->close_reason = reason;
-  this->state = State::kClosed;
-  this->usable = false;
-  this->deadline = kNever;
-  this->remote_name = NodeAddress{.ip = this->RemoteIp()}.IpToString();
-  std::error_code ignored;
-  this->socket.close(ignored);
-  // The write that runs still has to tell how much the kernel took.
-  if (!this->write_running) {
-    this->FinishClose();
-  }
-}
-
-void Connection::FinishClose() {
-  for (const auto& frame : this->waiting) {
-    this->unsent -= frame.bytes.size();
-  }
-  this->waiting = {};
-  this->owner->OnClosed(*this, this->close_cause, this->close_reason);
-  for (const auto& [attempt, sent] : std::exchange(this->visits, {})) {
-    this->owner->OnVisitLost(attempt, sent);
-  }
-}
-
 void Connection::NoteActivity() {
   if (this->state != State::kOpen) {
     return;
@@ -366,26 +302,4 @@
                        : (Now() + this->options.idle_timeout).count();
 }
 
-void Connection::CheckDeadline(Instant now) {
-  if (now.count() < this->deadline.load()) {
-    return;
-  }
-  asio::post(this->strand, [self = this->shared_from_this(), now] {
-    if (now.count() < self->deadline.load()) {
-      return;
-    }
-    if (self->state == State::kOpen && self->has_peer) {
-      if (!self->visits.empty()) {
-        self->NoteActivity();
-        return;
-      }
-      self->Close(CloseCause::kIdle, "idle");
-      return;
-    }
-    self->Close(CloseCause::kLost, self->state == State::kConnecting
-                                       ? "connect timed out"
-                                       : "no progress in time");
-  });
-}
-
 }  // namespace agaterun::node
--- a/libraries/node/connection.h
+++ b/libraries/node/connection.h
@@ -7,6 +7,7 @@
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -84,9 +85,14 @@
   // Ends the connection. Safe from any thread.
   void RequestClose(CloseCause cause, std::string reason);
 
-  // Writes out what is queued, then closes. Safe from any thread.
+  // Stops in an orderly way: the opener closes once its visits have ended,
+  // the other side asks it to. Within the connect timeout. Safe from any
+  // thread.
   void RequestDrain();
 
+  // The peer asked this opener to close once its visits have ended.
+  void Retire();
+
   // Closes the connection when it made no progress in time. Safe from any
   // thread.
   void CheckDeadline(Instant now);
@@ -115,6 +121,8 @@
   std::uint64_t peer_digest = 0;
 
  private:
+  static constexpr Instant::rep kNever =
+      std::numeric_limits<Instant::rep>::max();
   enum class State { kConnecting, kOpen, kDraining, kClosed };
 
   void StartConnect(std::uint32_t self_ip);
@@ -129,7 +137,7 @@
   void OnWritten(const std::error_code& error, std::size_t bytes);
   void MarkWritten(std::size_t bytes);
   void Drain();
-  void ShutDownSending();
+  void CloseIfDone();
   void Close(CloseCause cause, const std::string& reason);
   void FinishClose();
   void NoteActivity();
--- /dev/null
+++ b/libraries/node/connection_end.cc
@@ -0,0 +1,115 @@
+// How a connection ends: asked to, drained, or out of time.
+#include <asio/post.hpp>
+#include <utility>
+
+#include "libraries/base/clock.h"
+#include "libraries/node/connection.h"
+#include "libraries/node/frame_messages.h"
+
+namespace agaterun::node {
+
+void Connection::RequestClose(CloseCause cause, std::string reason) {
+  this->usable = false;
+  asio::post(this->strand,
+             [self = this->shared_from_this(), cause,
+              reason = std::move(reason)] { self->Close(cause, reason); });
+}
+
+void Connection::RequestDrain() {
+  asio::post(this->strand,
+             [self = this->shared_from_this()] { self->Drain(); });
+}
+
+// A close from the accepting side would cut off visits that are on their way
+// and leave their origins in doubt. So it only asks, and serves until the
+// opener closes.
+void Connection::Drain() {
+  if (this->state == State::kClosed) {
+    return;
+  }
+  if (this->state == State::kConnecting || !this->has_peer) {
+    this->Close(CloseCause::kStopped, "stopped");
+    return;
+  }
+  this->state = State::kDraining;
+  this->deadline =
+      (MonotonicClock().Now() + this->options.connect_timeout).count();
+  if (this->outgoing) {
+    this->usable = false;
+    this->CloseIfDone();
+  } else {
+    this->Send(EncodeClosing());
+  }
+}
+
+void Connection::Retire() {
+  if (this->state != State::kOpen) {
+    return;
+  }
+  this->usable = false;
+  this->state = State::kDraining;
+  this->deadline = kNever;
+  asio::post(this->strand,
+             [self = this->shared_from_this()] { self->CloseIfDone(); });
+}
+
+void Connection::CloseIfDone() {
+  if (this->outgoing && this->state == State::kDraining &&
+      this->visits.empty() && this->waiting.empty() && !this->write_running) {
+    this->Close(CloseCause::kStopped, "stopped");
+  }
+}
+
+void Connection::Close(CloseCause cause, const std::string& reason) {
+  if (this->state == State::kClosed) {
+    return;
+  }
+  this->close_cause =
+      this->state == State::kDraining ? CloseCause::kStopped : cause;
+  this->close_reason = reason;
+  this->state = State::kClosed;
+  this->usable = false;
+  this->deadline = kNever;
+  this->remote_name = NodeAddress{.ip = this->RemoteIp()}.IpToString();
+  std::error_code ignored;
+  this->socket.close(ignored);
+  // The write that runs still has to tell how much the kernel took.
+  if (!this->write_running) {
+    this->FinishClose();
+  }
+}
+
+void Connection::FinishClose() {
+  for (const auto& frame : this->waiting) {
+    this->unsent -= frame.bytes.size();
+  }
+  this->waiting = {};
+  this->owner->OnClosed(*this, this->close_cause, this->close_reason);
+  for (const auto& [attempt, sent] : std::exchange(this->visits, {})) {
+    this->owner->OnVisitLost(attempt, sent);
+  }
+}
+
+void Connection::CheckDeadline(Instant now) {
+  if (now.count() < this->deadline.load()) {
+    return;
+  }
+  asio::post(this->strand, [self = this->shared_from_this(), now] {
+    if (now.count() < self->deadline.load()) {
+      return;
+    }
+    if (self->state == State::kOpen && self->has_peer) {
+      if (!self->visits.empty()) {
+        self->NoteActivity();
+        return;
+      }
+      self->Close(CloseCause::kIdle, "idle");
+      return;
+    }
+    self->Close(CloseCause::kLost, self->state == State::kConnecting
+                                       ? "connect timed out"
+                                       : "no progress in time");
+  });
+}
+
+}  // namespace agaterun::node
--- a/libraries/node/frame.h
+++ b/libraries/node/frame.h
@@ -23,6 +23,7 @@
   kHeartbeat = 5,  // In datagrams only.
   kTicketItems = 6,
   kTicketItemsWanted = 7,
+  kClosing = 8,  // The gate stops: open no more visits on this connection.
 };
 
 inline constexpr std::array kFrameKindNames = {
@@ -33,6 +34,7 @@
     EnumName<FrameKind>{FrameKind::kHeartbeat, "heartbeat"},
     EnumName<FrameKind>{FrameKind::kTicketItems, "ticket-items"},
     EnumName<FrameKind>{FrameKind::kTicketItemsWanted, "ticket-items-wanted"},
+    EnumName<FrameKind>{FrameKind::kClosing, "closing"},
 };
 
 inline constexpr std::uint8_t kFrameVersion = 1;
--- a/libraries/node/frame_messages.cc
+++ b/libraries/node/frame_messages.cc
@@ -149,6 +149,13 @@
   return Encode(FrameKind::kTicketItemsWanted, kUsualMessageBytes, have);
 }
 
+OutgoingFrame EncodeClosing() {
+  OutgoingFrame frame;
+  frame.kind = FrameKind::kClosing;
+  frame.bytes.resize(FrameHeader::kBytes);
+  return frame;
+}
+
 Result<Greeting> DecodeGreeting(std::string_view payload) {
   return Decode<Greeting>(payload);
 }
--- a/libraries/node/frame_messages.h
+++ b/libraries/node/frame_messages.h
@@ -65,6 +65,9 @@
 OutgoingFrame EncodeTicketItemsWanted(
     const std::vector<decision::TicketItemVersion>& have);
 
+// Has no payload.
+OutgoingFrame EncodeClosing();
+
 // Each takes a whole payload. Fails with ErrorKind::kMalformedFrame when it is
 // cut, has trailing bytes, or holds a value that its type does not allow.
 Result<Greeting> DecodeGreeting(std::string_view payload);
--- a/libraries/node/node_links.h
+++ b/libraries/node/node_links.h
@@ -94,9 +94,11 @@
   // takes all, as a starting node knows nobody yet.
   void SetAllowedPeers(std::function<bool(NodeAddress)> allowed);
 
-  // Writes out what is queued, then closes all connections. Returns at once;
-  // all are closed when ConnectionCount() is 0. The destructor waits for
-  // nothing but calls of the observer that run.
+  // Takes no more connections and ends those that are there in an orderly
+  // way, within the connect timeout: peers are asked to open no more visits,
+  // and visits that are on their way still reach the observer and can be
+  // answered. Returns at once; all is closed when ConnectionCount() is 0. The
+  // destructor waits for nothing but calls of the observer that run.
   void Close();
 
   std::size_t ConnectionCount() const;
--- a/libraries/node/node_links_frames.cc
+++ b/libraries/node/node_links_frames.cc
@@ -29,12 +29,22 @@
     return this->TakeGreeting(connection, header, payload);
   }
   this->NoteDigest(connection, header.state_digest);
-  if (connection.IsOutgoing()) {
-    return header.kind == FrameKind::kReply
-               ? this->TakeReply(connection, payload)
-               : Unexpected(header.kind);
+  return connection.IsOutgoing()
+             ? this->TakeFromGate(connection, header, payload)
+             : this->TakeFromOrigin(connection, header, payload);
+}
+
+Result<void> NodeLinks::Implementation::TakeFromGate(Connection& connection,
+                                                     const FrameHeader& header,
+                                                     std::string_view payload) {
+  if (header.kind == FrameKind::kReply) {
+    return this->TakeReply(connection, payload);
   }
-  return this->TakeFromOrigin(connection, header, payload);
+  if (header.kind == FrameKind::kClosing && payload.empty()) {
+    connection.Retire();
+    return {};
+  }
+  return Unexpected(header.kind);
 }
 
 Result<void> NodeLinks::Implementation::TakeFromOrigin(
@@ -53,6 +63,7 @@
     case FrameKind::kGreeting:
     case FrameKind::kReply:
     case FrameKind::kHeartbeat:
+    case FrameKind::kClosing:
       break;
   }
   return Unexpected(header.kind);
--- a/libraries/node/node_links_implementation.h
+++ b/libraries/node/node_links_implementation.h
@@ -91,6 +91,9 @@
   Result<void> TakeGreeting(Connection& connection,
                             const FrameHeader& header,
                             std::string_view payload);
+  Result<void> TakeFromGate(Connection& connection,
+                            const FrameHeader& header,
+                            std::string_view payload);
   Result<void> TakeFromOrigin(Connection& connection,
                               const FrameHeader& header,
                               std::string_view payload);
--- a/tests/node/hostile_gate_test.cc
+++ b/tests/node/hostile_gate_test.cc
@@ -97,6 +97,10 @@
        gate.Send(ReplyBytes(origin, 1, "body 1") + std::string(100, '?') +
                  ReplyBytes(origin, 2, "body 2"));
      }},
+    {"closing with a payload", End::kLostSent, End::kLostSent,
+     [](RawPeer& gate, const TestNode&) {
+       gate.Send(FrameAround(FrameKind::kClosing, "x"));
+     }},
     {"a visit in place of a reply", End::kLostSent, End::kLostSent,
      [](RawPeer& gate, const TestNode& origin) {
        gate.Send(Sealed(EncodeVisit(origin.Visit(1), {})));
--- a/tests/node/hostile_peer_test.cc
+++ b/tests/node/hostile_peer_test.cc
@@ -161,6 +161,8 @@
      [](NodeAddress from) {
        return Sealed(EncodeReply(ReplyTo(ValidVisit(from)), nullptr));
      }},
+    {"closing out of place",
+     [](NodeAddress) { return Sealed(EncodeClosing()); }},
     {"heartbeat out of place",
      [](NodeAddress from) { return Sealed(EncodeHeartbeat({.from = from})); }},
 };
--- a/tests/node/node_links_test.cc
+++ b/tests/node/node_links_test.cc
@@ -145,6 +145,42 @@
   }));
 }
 
+// A planned stop must leave no origin in doubt about a visit that met it.
+BOOST_AUTO_TEST_CASE(VisitsThatMeetAStopAreStillAnswered) {
+  constexpr int kVisits = 200;
+  IoThreads threads;
+  TestNode origin(threads.io);
+  TestNode gate(threads.io);
+  for (int call = 1; call <= kVisits; ++call) {
+    origin.links->SendVisit(gate.options.self, origin.Visit(call), {});
+    if (call == 20) {
+      BOOST_REQUIRE(gate.observer.WaitFor(
+          [](const Heard& heard) { return !heard.visits.empty(); }));
+      gate.links->Close();
+    }
+  }
+  // Those that the connection still took are answered, the rest were not sent.
+  std::size_t answered = 0;
+  BOOST_REQUIRE(Eventually([&] {
+    const auto visits = gate.observer.Snapshot().visits;
+    for (; answered < visits.size(); ++answered) {
+      gate.links->SendReply(origin.options.self,
+                            ReplyTo(visits[answered].visit), AnswerWith("x"));
+    }
+    const auto heard = origin.observer.Snapshot();
+    return heard.replies.size() + heard.lost.size() == kVisits;
+  }));
+  const auto heard = origin.observer.Snapshot();
+  BOOST_TEST(heard.replies.size() == answered);
+  for (const auto& lost : heard.lost) {
+    BOOST_TEST(!lost.sent);
+  }
+  BOOST_TEST(Eventually([&] {
+    return gate.links->ConnectionCount() == 0 &&
+           origin.links->ConnectionCount() == 0;
+  }));
+}
+
 BOOST_AUTO_TEST_CASE(IdleConnectionIsClosedByItsOpener) {
   IoThreads threads;
   TestNode origin(threads.io, {.idle_timeout = 50ms});
