Node: Sends an empty message of ticket items, which the spread relies on

Cause: TicketSpread answers a request with an empty message when it has nothing newer; the links sent none, so the asker waited for its time limit.

Change: an empty list is one empty frame.

Conclusion: the test fails without the change (no message within the guard).

--- a/libraries/node/node_links.h
+++ b/libraries/node/node_links.h
@@ -82,6 +82,7 @@
                  const decision::VisitReply& reply,
                  const decision::Answer& answer);
   void SendHeartbeat(NodeAddress to, const decision::Heartbeat& heartbeat);
+  // In several messages when they are large; in an empty one when empty.
   void SendTicketItems(NodeAddress to,
                        const std::vector<decision::TicketItemText>& items);
   void RequestTicketItems(NodeAddress to,
--- a/libraries/node/node_links_frames.cc
+++ b/libraries/node/node_links_frames.cc
@@ -308,9 +308,8 @@
     batch.push_back(item);
     batch_bytes += bytes;
   }
-  if (!batch.empty()) {
-    this->SendPlain(to, EncodeTicketItems(batch));
-  }
+  // Without items too: an empty message is the answer that none are newer.
+  this->SendPlain(to, EncodeTicketItems(batch));
 }
 
 void NodeLinks::Implementation::SendHeartbeat(
--- a/tests/node/node_links_test.cc
+++ b/tests/node/node_links_test.cc
@@ -111,6 +111,15 @@
       [&](const Heard& heard) { return heard.items.size() == items.size(); }));
 }
 
+BOOST_AUTO_TEST_CASE(NoTicketItemsAreAnAnswerToo) {
+  IoThreads threads;
+  TestNode left(threads.io);
+  TestNode right(threads.io);
+  left.links->SendTicketItems(right.options.self, {});
+  BOOST_TEST(right.observer.WaitFor(
+      [](const Heard& heard) { return heard.item_messages == 1; }));
+}
+
 BOOST_AUTO_TEST_CASE(HeartbeatKeepsToOneDatagram) {
   IoThreads threads;
   TestNode left(threads.io);
--- a/tests/node/test_nodes.cc
+++ b/tests/node/test_nodes.cc
@@ -99,6 +99,7 @@
     NodeAddress,
     std::vector<decision::TicketItemText> items) {
   this->Note([&](Heard& heard) {
+    ++heard.item_messages;
     heard.items.insert(heard.items.end(), items.begin(), items.end());
   });
 }
--- a/tests/node/test_nodes.h
+++ b/tests/node/test_nodes.h
@@ -59,6 +59,7 @@
   std::vector<LostAttempt> lost;
   std::vector<decision::Heartbeat> heartbeats;
   std::vector<std::pair<NodeAddress, std::uint64_t>> digests;
+  std::size_t item_messages = 0;
   std::vector<decision::TicketItemText> items;
   std::vector<decision::TicketItemVersion> wanted;
 };
