--- a/libraries/driver/node_driver.cc
+++ b/libraries/driver/node_driver.cc
@@ -168,8 +168,7 @@
     Log(LogEvent::kRequestRejected, {{"why", event.error().message}});
     this->metrics.RecordCall(decision::Importance::kNormal, Outcome::kNotRun,
                              Reason::kMalformed, Duration{});
-    this->ServerOf(nested)->Answer(call,
-                                   caller::WriteRejection(event.error()));
+    this->ServerOf(nested)->Answer(call, caller::WriteRejection(event.error()));
     return;
   }
   // Requests that no ticket knows end here, on the thread that read them.
--- a/tests/driver/test_region.cc
+++ b/tests/driver/test_region.cc
@@ -110,9 +110,9 @@
   for (int poll = 0; poll < kServingPolls; ++poll) {
     bool all_serve = true;
     for (auto& host : this->hosts) {
-      all_serve = all_serve && host.node->Health() == "serving" &&
-                  host.node->StateDump().find("\"ready\": true") !=
-                      std::string::npos;
+      all_serve =
+          all_serve && host.node->Health() == "serving" &&
+          host.node->StateDump().find("\"ready\": true") != std::string::npos;
     }
     if (all_serve) {
       return true;
