--- /dev/null
+++ b/tests/decision/ticket_schedule_test.cc
@@ -0,0 +1,78 @@
+#include <boost/test/unit_test.hpp>
+
+#include "libraries/decision/platform_schedule.h"
+
+namespace agaterun::decision {
+
+namespace {
+
+struct ScheduleCase {
+  ReaderRole role;
+  bool reached;
+  std::optional<Duration> age;  // Of the last confirmation by others.
+  Duration least_interval;      // Between two reads.
+  int most_reads;               // In ten minutes.
+};
+
+// What the bound on the reads of a fleet rests on: no node reads more often,
+// whatever it believes of the others. A watch without news is not shown here.
+const auto kScheduleCases = std::to_array<ScheduleCase>({
+    {ReaderRole::kPoller, true, 0s, 900ms, 667},
+    {ReaderRole::kPoller, false, std::nullopt, 1800ms, 200},
+    {ReaderRole::kStandby, true, 0s, 600s, 0},
+    {ReaderRole::kStandby, true, std::nullopt, 900ms, 667},
+    {ReaderRole::kStandby, false, std::nullopt, 1800ms, 200},
+    {ReaderRole::kNone, true, 0s, 600s, 0},
+    {ReaderRole::kNone, true, std::nullopt, 5s, 120},
+    {ReaderRole::kNone, false, std::nullopt, 10s, 31},
+});
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(TicketScheduleTest)
+
+BOOST_AUTO_TEST_CASE(EachRoleKeepsItsLeastInterval) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    for (const auto& [role, reached, age, least, most] : kScheduleCases) {
+      BOOST_TEST_CONTEXT(NameOf(kReaderRoleNames, role)
+                         << " reached " << reached << " seed " << seed) {
+        SeededRandom random(seed);
+        PlatformSchedule schedule(random);
+        std::optional<Instant> before;
+        int reads = 0;
+        Duration shortest = 600s;
+        for (Instant now = 1000s; now < 1600s; now += 10ms) {
+          schedule.Update(now, role,
+                          age ? std::optional(now - *age) : std::nullopt);
+          if (!schedule.Due() || *schedule.Due() > now) {
+            continue;
+          }
+          schedule.Take(now, 1);
+          schedule.Ended(now, reached, 1);
+          shortest = before ? std::min(shortest, now - *before) : shortest;
+          before = now;
+          ++reads;
+        }
+        BOOST_TEST((shortest >= least));
+        BOOST_TEST(reads <= most);
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(FirstReadsOfALonelyFleetAreSpreadOverSeconds) {
+  SeededRandom random(1);
+  std::map<std::int64_t, int> calls;
+  for (int node = 0; node < 710; ++node) {
+    PlatformSchedule schedule(random);
+    schedule.Update(1000s, ReaderRole::kNone, std::nullopt);
+    calls[*schedule.Due() / 1s] += 2;
+  }
+  for (const auto& [second, count] : calls) {
+    BOOST_TEST(count < 400);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace agaterun::decision
--- a/tests/decision/ticket_spread_test.cc
+++ b/tests/decision/ticket_spread_test.cc
@@ -156,7 +156,7 @@
   network.Publish(network.TicketText(2));
   network.RunFor(3s);
   network.platform.shown = 1;
-  // Not even one whose seeds all restart with it.
+  // All its seeds restart with it.
   for (int index = 0; index < 7; ++index) {
     network.Start(index);
   }
@@ -171,6 +171,37 @@
   BOOST_TEST(network.Behind(2) == 0);
 }
 
+// Without seeds and known to nobody, it still asks the nodes that the ticket
+// from the platform names before it serves.
+BOOST_AUTO_TEST_CASE(StalePlatformDoesNotTakeAnUnknownNodeBack) {
+  SpreadNetwork network({.nodes = 13, .seeds = 2});
+  const auto without_last = [&](std::uint64_t number) {
+    auto text = network.TicketText(number);
+    const auto line = text.find("endpoint.e12 ");
+    return text.erase(line, text.find('\n', line) + 1 - line);
+  };
+  network.Publish(without_last(1));
+  for (int index = 0; index < 12; ++index) {
+    network.Start(index);
+  }
+  network.RunFor(5s);
+  network.Publish(without_last(2));
+  network.RunFor(3s);
+  network.platform.shown = 1;
+  network.Stop(0);
+  network.Stop(1);
+  network.Start(12);
+  int served_old = 0;
+  for (int step = 0; step < 1000; ++step) {
+    network.RunFor(10ms);
+    served_old += network.Count([](const SpreadNetwork::Member& member) {
+      return member.node->Spread().Ready() && member.number < 2;
+    });
+  }
+  BOOST_TEST(served_old == 0);
+  BOOST_TEST(network.Behind(2) == 0);
+}
+
 BOOST_AUTO_TEST_CASE(AloneItServesFromThePlatformAfterItsSeeds) {
   SpreadNetwork network({.nodes = 6});
   network.Publish(network.TicketText(1));
@@ -317,7 +348,13 @@
   BOOST_TEST(network.At(8).node->IsStopping());
   // The list still names the host when the next process starts there.
   network.Start(8);
-  network.RunFor(10s);
+  network.RunFor(5s);
+  // Nor does it take readers that start now for a change.
+  for (const int index : {0, 1, 2, 3, 4, 5, 6, 7, 9, 10, 11}) {
+    network.Start(index);
+    network.RunFor(500ms);
+  }
+  network.RunFor(5s);
   BOOST_TEST(!network.At(8).node->IsStopping());
   BOOST_TEST(network.Behind(1) == 0);
 }
