Decision: Raise thresholds in growing steps while slots stand free

Cause: under steady overload only 60-70% of ledger's slots were taken: the level rose one slice in 300 ms, and a class without any demand cost 16 of them. Ruled out: the limit; slots stood free below it. Change: steps while half to nine tenths of the slots are taken double until the slots are full, every 200 ms.

--- a/libraries/decision/admission_threshold_controller.cc
+++ b/libraries/decision/admission_threshold_controller.cc
@@ -25,7 +25,7 @@
 
 // Windows between such steps: what a step lets in is seen here only after the
 // entries heard of it and sent it through their whole path.
-constexpr int kWindowsPerStep = 6;
+constexpr int kWindowsPerStep = 4;
 
 // Windows after which nothing of the counts is left.
 constexpr int kForgottenAfter = 64;
@@ -162,13 +162,19 @@
     this->windows_since_raise = 0;
     return;
   }
-  this->raise = 1;
-  if (taken < kSpareShare && this->windows_since_raise >= kWindowsPerStep) {
-    // Within one class the demand is in proportion to the slices admitted.
+  if (taken >= kSpareShare) {
+    this->raise = 1;
+    return;
+  }
+  if (this->windows_since_raise >= kWindowsPerStep) {
+    // Within one class the demand is in proportion to the slices admitted. A
+    // step that brought nothing met a class without demand; the next is twice
+    // as long.
     const int in_class = (this->level - 1) % kSlices + 1;
     const auto fitting = static_cast<int>(in_class * kSpareShare / taken);
-    const int step = std::max(1, fitting - in_class);
+    const int step = std::max(this->raise, fitting - in_class);
     this->level = std::min(kLevels, this->level + step);
+    this->raise = std::min(kLevels, this->raise * 2);
     this->windows_since_raise = 0;
   }
 }
