Decision: Let the baseline do without deadlines and cancels

Cause: the baseline without control still passed deadlines and cancels on, which keeps work in vain low and no system without control does.

--- a/libraries/decision/gate.cc
+++ b/libraries/decision/gate.cc
@@ -185,7 +185,7 @@
     this->EndNotRun(now, *id, Reason::kCancelled, actions);
     return;
   }
-  if (!this->IsIdempotent(visit.request)) {
+  if (!this->MayAbort(visit.request)) {
     // The caller may ask again under the same binding: the answer is kept.
     this->Abandon(now, *id, Reason::kCancelled, actions);
     return;
--- a/libraries/decision/gate.h
+++ b/libraries/decision/gate.h
@@ -112,6 +112,11 @@
   // Why no request can be taken just now, or kNone.
   Reason Closed(const VisitRequest& request) const;
   bool IsIdempotent(const VisitRequest& request) const;
+  // Whether a running request is broken off when nobody waits for it.
+  bool MayAbort(const VisitRequest& request) const {
+    return this->IsIdempotent(request) &&
+           !this->options.disabled.Has(Mechanism::kCancellation);
+  }
 
   void Admit(Instant now, const VisitArrived& event, Actions& actions);
   // Starts a visit at the backend server.
--- a/libraries/decision/gate_endings.cc
+++ b/libraries/decision/gate_endings.cc
@@ -158,7 +158,7 @@
                       actions);
       return;
     case VisitPhase::kRunning:
-      if (!this->IsIdempotent(visit.request)) {
+      if (!this->MayAbort(visit.request)) {
         this->Abandon(now, id, Reason::kDeadlineExceeded, actions);
         return;
       }
--- a/libraries/decision/mechanism.h
+++ b/libraries/decision/mechanism.h
@@ -24,9 +24,10 @@
   kRetryAllowance,    // Off: every hop has three tries of its own.
   kRetryRules,        // Off: overload and server errors are retried too.
   kRetryBudget,       // Off: a node retries as often as allowances let it.
+  kCancellation,      // Off: deadlines and cancels end at the hop they are at.
 };
 
-inline constexpr std::size_t kMechanismCount = 11;
+inline constexpr std::size_t kMechanismCount = 12;
 
 inline constexpr std::array kMechanismNames = {
     EnumName<Mechanism>{Mechanism::kAdaptiveLimit, "adaptive-limit"},
@@ -40,6 +41,7 @@
     EnumName<Mechanism>{Mechanism::kRetryAllowance, "retry-allowance"},
     EnumName<Mechanism>{Mechanism::kRetryRules, "retry-rules"},
     EnumName<Mechanism>{Mechanism::kRetryBudget, "retry-budget"},
+    EnumName<Mechanism>{Mechanism::kCancellation, "cancellation"},
 };
 
 // A set of mechanisms.
--- a/libraries/decision/origin.cc
+++ b/libraries/decision/origin.cc
@@ -134,7 +134,9 @@
       return tl::unexpected(Reason::kCancelled);
     }
     call.parent = event.parent;
-    call.deadline = std::min(call.deadline, parent->deadline);
+    if (!this->options.disabled.Has(Mechanism::kCancellation)) {
+      call.deadline = std::min(call.deadline, parent->deadline);
+    }
     call.request.importance =
         std::min(call.request.importance, parent->importance);
     call.request.admission_key = parent->admission_key;
--- a/meta/region.py
+++ b/meta/region.py
@@ -83,7 +83,7 @@
     "none": ["concurrency-limit", "adaptive-limit", "threshold",
              "newest-first", "displacement", "fair-shares", "deadline-check",
              "early-shedding", "retry-allowance", "retry-rules",
-             "retry-budget"],
+             "retry-budget", "cancellation"],
     "fixed": ["adaptive-limit", "threshold", "newest-first", "displacement",
               "fair-shares", "deadline-check", "early-shedding",
               "retry-allowance", "retry-rules"],
