Decision: Let the limit rest long, and rise at once

A rest now ends when own times fall, the way up below the published slots is taken at once when they are normal, and the unloaded own time counts only after 32 requests. Rests last at least ten own times, since a probe takes a few of them.

--- a/libraries/decision/concurrency_limit.cc
+++ b/libraries/decision/concurrency_limit.cc
@@ -50,10 +50,18 @@
 // Without pressure for so long, what was learned is taken as outdated.
 constexpr Duration kForgottenAfter = 30s;
 
+// A rest lasts at least so many own times, since a probe takes a few of them.
+constexpr int kRestingTimes = 10;
+
+// A rest ends when own time falls to this part of what it was.
+constexpr double kQuickAgain = 0.7;
+
 constexpr Duration kShedInterval = 100ms;
 constexpr double kShedFactor = 0.9;
 
-constexpr double kUnloadedSmoothing = 0.02;
+// Requests that the unloaded own time is taken over, and the fewest of them.
+constexpr int kUnloadedMemory = 64;
+constexpr int kLeastUnloaded = 32;
 
 // Own times of a new limit show after the requests of the old one are gone.
 constexpr int kSettlingTimes = 2;
@@ -96,10 +104,7 @@
   }
   const double seconds = ToSeconds(own);
   if (running * 2 <= this->limit) {
-    this->unloaded =
-        this->unloaded == 0
-            ? seconds
-            : this->unloaded + kUnloadedSmoothing * (seconds - this->unloaded);
+    this->AddUnloaded(seconds);
   }
   if (running < this->limit) {
     this->OnUnsaturated(now);
@@ -131,6 +136,15 @@
   }
 }
 
+void ConcurrencyLimit::AddUnloaded(double seconds) {
+  this->unloaded_count = std::min(this->unloaded_count + 1, kUnloadedMemory);
+  this->unloaded_mean += (seconds - this->unloaded_mean) / this->unloaded_count;
+}
+
+double ConcurrencyLimit::Unloaded() const {
+  return this->unloaded_count < kLeastUnloaded ? 0 : this->unloaded_mean;
+}
+
 void ConcurrencyLimit::OnAborted(Instant now, Duration own, int running) {
   if (!this->options.adaptive || running < this->limit ||
       now < this->settled_at) {
@@ -151,9 +165,11 @@
     this->Rest(now);
   }
   if (now - this->last_saturated > kForgottenAfter) {
-    const double kept = this->unloaded;
+    const double mean = this->unloaded_mean;
+    const int count = this->unloaded_count;
     this->Restart();
-    this->unloaded = kept;
+    this->unloaded_mean = mean;
+    this->unloaded_count = count;
     this->last_saturated = now;
   }
 }
@@ -183,7 +199,10 @@
 void ConcurrencyLimit::Rest(Instant now) {
   // A knee that was found is tested again ever less often, since each test
   // costs a little; but it never stops being tested.
-  this->rest_until = now + this->rest;
+  const auto probe = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(kRestingTimes * this->base_sample.Mean()));
+  this->rest_until = now + std::max(this->rest, probe);
+  this->rest_mean = this->base_sample.Mean();
   this->rest = std::min(kLongestRest, this->rest * 2);
   this->EnterHold(now);
 }
@@ -220,7 +239,21 @@
     this->aborted = 0;
     return;
   }
-  if (now < this->rest_until) {
+  // Below the published slots with normal own times, the way up is tried at
+  // once: a limit must rise as fast as it fell.
+  const bool too_low =
+      this->base < this->options.slots && this->IsNormal(this->base_sample);
+  // A verdict on a slow backend server says nothing once it is quick again.
+  const bool changed = this->base_sample.Mean() < kQuickAgain * this->rest_mean;
+  if (changed) {
+    this->rest = kShortestRest;
+    this->rest_mean = 0;
+    this->rest_until = now;
+    // This sample still mixes slow requests with quick ones.
+    this->EnterHold(now);
+    return;
+  }
+  if (now < this->rest_until && !too_low) {
     return;
   }
   if (this->MayBeTooHigh(this->base_sample) && this->Below() < this->base) {
@@ -234,18 +267,18 @@
   if (this->aborted * kManyAborted > sample.Count()) {
     return true;
   }
-  if (this->unloaded <= 0) {
+  if (this->Unloaded() <= 0) {
     return false;
   }
-  const double ratio = sample.Mean() / this->unloaded;
+  const double ratio = sample.Mean() / this->Unloaded();
   const double error = kConfidence * std::sqrt(sample.RelativeVariance());
   return ratio * (1 - error) >= kTooHighLeast && ratio <= kTooHighMost;
 }
 
 bool ConcurrencyLimit::IsNormal(const OwnTimeSample& sample) const {
   const double error = std::sqrt(sample.RelativeVariance());
-  return this->unloaded > 0 &&
-         sample.Mean() * (1 + error) <= kNormal * this->unloaded;
+  return this->Unloaded() > 0 &&
+         sample.Mean() * (1 + error) <= kNormal * this->Unloaded();
 }
 
 void ConcurrencyLimit::EndAbove(Instant now) {
--- a/libraries/decision/concurrency_limit.h
+++ b/libraries/decision/concurrency_limit.h
@@ -47,6 +47,9 @@
   enum class Verdict : std::uint8_t { kUndecided, kFlat, kSteep, kChanged };
 
   void Restart();
+  void AddUnloaded(double seconds);
+  // Mean own time without load in seconds, or 0 while it is not known.
+  double Unloaded() const;
   void OnUnsaturated(Instant now);
   void EnterHold(Instant now);
   void EnterProbe(Instant now, Phase phase);
@@ -67,10 +70,13 @@
   Instant settled_at{};  // Samples count from here on.
   Instant rest_until{};
   Duration rest;
+  double rest_mean = 0;  // Own time in seconds when the rest began.
   OwnTimeSample base_sample;
   OwnTimeSample probe_sample;
-  int aborted = 0;      // Of the base sample, cut off at their deadline.
-  double unloaded = 0;  // Own time at half the limit or less, in seconds.
+  int aborted = 0;  // Of the base sample, cut off at their deadline.
+  // Own time in seconds at half the limit or less.
+  double unloaded_mean = 0;
+  int unloaded_count = 0;
   Instant last_saturated{};
   Instant last_shed{};
 };
