Tests: Frames of another version, kind or layout carry a right checksum

Cause: with the version check off no test failed, as the changed byte broke the checksum too.

Change: these rows compute the checksum anew.

--- a/tests/node/hostile_peer_test.cc
+++ b/tests/node/hostile_peer_test.cc
@@ -65,15 +65,15 @@
      }},
     {"other version",
      [](NodeAddress from) {
-       return WithByte(VisitBytes(ValidVisit(from)), 3, 2);
+       return WithChecksum(WithByte(VisitBytes(ValidVisit(from)), 3, 2));
      }},
     {"unknown kind",
      [](NodeAddress from) {
-       return WithByte(VisitBytes(ValidVisit(from)), 4, 99);
+       return WithChecksum(WithByte(VisitBytes(ValidVisit(from)), 4, 99));
      }},
     {"reserved bytes set",
      [](NodeAddress from) {
-       return WithByte(VisitBytes(ValidVisit(from)), 6, 1);
+       return WithChecksum(WithByte(VisitBytes(ValidVisit(from)), 6, 1));
      }},
     {"length over the limit",
      [](NodeAddress from) {
--- a/tests/node/raw_peer.cc
+++ b/tests/node/raw_peer.cc
@@ -3,6 +3,9 @@
 #include <arpa/inet.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <xxhash.h>
+
+#include <cstring>
 
 #include "libraries/node/frame_messages.h"
 #include "tests/node/test_nodes.h"
@@ -121,6 +124,16 @@
   return Sealed(std::move(frame));
 }
 
+std::string WithChecksum(std::string frame) {
+  constexpr std::size_t kChecksumOffset = 24;
+  const auto seed = XXH3_64bits(frame.data(), kChecksumOffset);
+  const std::uint64_t checksum =
+      XXH3_64bits_withSeed(frame.data() + FrameHeader::kBytes,
+                           frame.size() - FrameHeader::kBytes, seed);
+  std::memcpy(frame.data() + kChecksumOffset, &checksum, sizeof(checksum));
+  return frame;
+}
+
 std::string GreetingBytes(NodeAddress from, std::uint64_t incarnation) {
   return Sealed(EncodeGreeting({.from = from, .incarnation = incarnation}));
 }
--- a/tests/node/raw_peer.h
+++ b/tests/node/raw_peer.h
@@ -59,6 +59,9 @@
 // A frame around any payload, with the right length and checksum.
 std::string FrameAround(FrameKind kind, const std::string& payload);
 
+// `frame` with the checksum that its changed bytes call for.
+std::string WithChecksum(std::string frame);
+
 // The greeting of a node at `from`.
 std::string GreetingBytes(NodeAddress from, std::uint64_t incarnation);
 
