--- a/libraries/decision/endpoint_score.cc
+++ b/libraries/decision/endpoint_score.cc
@@ -15,9 +15,11 @@
 // Longest skip once the peer was heard by heartbeat after the loss.
 constexpr Duration kLongestSkipWhenHeard = 200ms;
 
-// Word of a backend server that is down counts this long; then one request may
-// find out.
+// Word of a backend server that is down, or of a gate that is leaving, counts
+// this long; then one request may find out. Another host may have come at the
+// address of one that left, without a heartbeat to this node yet.
 constexpr Duration kBackendDownTrusted = 1s;
+constexpr Duration kLeavingTrusted = 5s;
 
 // A refusal marks an endpoint as full for this long.
 constexpr Duration kRefusalTrusted = 100ms;
@@ -29,8 +31,11 @@
 constexpr int kSilentLatencies = 8;
 constexpr double kSilenceCost = 50;
 
+// A report of a full gate counts this long against a retry.
+constexpr Duration kReportTrusted = 200ms;
+
 // Half-lives of what was told and of what was observed.
-constexpr Duration kReportHalfLife = 200ms;
+constexpr Duration kReportHalfLife = 1s;
 constexpr Duration kLatencyHalfLife = 2s;
 constexpr Duration kRefusalHalfLife = 100ms;
 
@@ -92,7 +97,7 @@
 }
 
 bool IsSilent(Instant now, const PeerState& peer) {
-  return peer.in_flight > 0 &&
+  return peer.in_flight > 0 && peer.waiting_since != Instant{} &&
          now - peer.waiting_since >
              std::max<Duration>(kShortestSilence,
                                 kSilentLatencies * peer.latency);
@@ -110,11 +115,13 @@
 }  // namespace
 
 Usability UsabilityOf(Instant now, const PeerState& peer) {
-  if (peer.load.leaving || peer.listed_as_leaving) {
+  if (peer.listed_as_leaving) {
     return Usability::kUnusable;
   }
-  if (!peer.load.backend_up) {
-    return now - peer.load_reported < kBackendDownTrusted || peer.in_flight > 0
+  if (peer.load.leaving || !peer.load.backend_up) {
+    const auto trusted =
+        peer.load.leaving ? kLeavingTrusted : kBackendDownTrusted;
+    return now - peer.load_reported < trusted || peer.in_flight > 0
                ? Usability::kUnusable
                : Usability::kProbe;
   }
@@ -137,7 +144,7 @@
       now - peer.last_refused < kRefusalTrusted) {
     return false;
   }
-  return peer.load.limit == 0 || now - peer.load_reported > kReportHalfLife ||
+  return peer.load.limit == 0 || now - peer.load_reported > kReportTrusted ||
          peer.load.running + peer.load.queued < peer.load.limit;
 }
 
