--- a/libraries/decision/admission_threshold_controller.cc
+++ b/libraries/decision/admission_threshold_controller.cc
@@ -17,7 +17,7 @@
 
 // Below this share of slots taken the level rises faster and faster: what held
 // it down is over.
-constexpr double kIdleShare = 0.5;
+constexpr double kIdleShare = 0.7;
 
 // Below this share it rises a step at a time. From it on the slots are as good
 // as full, and calm only shows that the level does its work.
--- a/tests/decision/gate_policy_test.cc
+++ b/tests/decision/gate_policy_test.cc
@@ -101,12 +101,12 @@
   AdmissionThresholdController controller;
   Instant now = 1s;
   for (; now < 3s; now += 1ms) {
-    controller.OnArrival(now, Importance::kNormal,
-                         static_cast<std::uint16_t>(now / 1ms % 256));
+    const auto key = static_cast<std::uint16_t>(now / 1ms % 256);
+    controller.OnArrival(now, Importance::kNormal, key);
     if (now / 1ms % 10 == 0) {
       controller.OnStart(now);
     }
-    controller.OnOverload(now);
+    controller.OnOverload(now, Importance::kNormal, key);
   }
   BOOST_TEST((controller.Threshold(now) != AdmissionThreshold{}));
   BOOST_TEST((controller.Threshold(now + 1s) == AdmissionThreshold{}));
