--- a/tests/decision/binding_property_test.cc
+++ b/tests/decision/binding_property_test.cc
@@ -179,8 +179,9 @@
 
   void Lose(std::uint32_t pick) {
     if (!this->messages.empty()) {
-      this->messages.erase(this->messages.begin() +
-                           pick % this->messages.size());
+      this->messages.erase(
+          this->messages.begin() +
+          static_cast<std::ptrdiff_t>(pick % this->messages.size()));
     }
   }
 
--- a/tests/decision/gate_policy_test.cc
+++ b/tests/decision/gate_policy_test.cc
@@ -106,8 +106,10 @@
     if (now / 1ms % 10 == 0) {
       controller.OnStart(now);
     }
-    controller.OnOverload(now);
+    controller.OnOverload(now, Importance::kNormal, 0);
+    controller.OnRunning(now, 10, 10);
   }
+  controller.OnRunning(now, 0, 10);
   BOOST_TEST((controller.Threshold(now) != AdmissionThreshold{}));
   BOOST_TEST((controller.Threshold(now + 1s) == AdmissionThreshold{}));
 }
