--- a/libraries/node/node_links_implementation.cc
+++ b/libraries/node/node_links_implementation.cc
@@ -1,5 +1,6 @@
 #include "libraries/node/node_links_implementation.h"
 
+#include <algorithm>
 #include <asio/bind_executor.hpp>
 #include <asio/post.hpp>
 #include <utility>
@@ -13,8 +14,9 @@
 
 using asio::ip::tcp;
 
-// How closely connect timeouts and the like are kept.
-constexpr Duration kSweepInterval = 250ms;
+// Connect timeouts and the like are kept to this part of the connect timeout.
+constexpr int kSweepsPerTimeout = 4;
+constexpr Duration kShortestSweepInterval = 10ms;
 constexpr int kListenBacklog = 1024;
 
 }  // namespace
@@ -115,7 +117,9 @@
   if (std::exchange(this->accept_stalled, false)) {
     this->Accept();
   }
-  this->sweep_timer.expires_after(kSweepInterval);
+  this->sweep_timer.expires_after(
+      std::max(kShortestSweepInterval,
+               this->options.connect_timeout / kSweepsPerTimeout));
   this->sweep_timer.async_wait(
       [self = this->shared_from_this()](const std::error_code& error) {
         if (!error) {
