--- a/libraries/decision/ticket_spread.cc
+++ b/libraries/decision/ticket_spread.cc
@@ -16,8 +16,6 @@
 constexpr Duration kTellAgain = 200ms;
 constexpr std::uint64_t kMostSeeds = 16;
 constexpr std::size_t kSeenTexts = 1024;
-// Well below the largest frame between nodes.
-constexpr std::size_t kItemBytesPerMessage = 2 * 1024 * 1024;
 
 std::vector<NodeAddress> Without(std::vector<NodeAddress> nodes,
                                  NodeAddress self) {
@@ -143,18 +141,10 @@
   const auto items = this->state->items.empty()
                          ? std::vector<TicketItemText>{}
                          : this->store.NewerThan(event.have);
-  SendTicketItems message{.to = event.from};
-  std::size_t bytes = 0;
-  for (const auto& item : items) {
-    if (bytes > 0 && bytes + item.text.size() > kItemBytesPerMessage) {
-      actions.push_back(std::exchange(message, {.to = event.from}));
-      bytes = 0;
-    }
-    bytes += item.text.size();
-    message.items.push_back(item);
+  for (auto& message : SplitIntoMessages(items)) {
+    actions.push_back(
+        SendTicketItems{.to = event.from, .items = std::move(message)});
   }
-  // An empty message says that there is nothing newer.
-  actions.push_back(std::move(message));
   if (this->store.Lacks(event.have)) {
     this->pull.Offer(event.from, DigestOf(event.have));
     this->Pull(now, actions);
--- a/libraries/decision/ticket_store.cc
+++ b/libraries/decision/ticket_store.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::size_t kFormerDigests = 128;
+// Well below the largest frame between nodes.
+constexpr std::size_t kItemBytesPerMessage = 2 * 1024 * 1024;
 constexpr std::size_t kReportedConflicts = 1024;
 // Versions of one name that wait for the rest of their tickets.
 constexpr std::size_t kWaitingVersions = 4;
@@ -181,4 +183,19 @@
              this->former.end();
 }
 
+std::vector<std::vector<TicketItemText>> SplitIntoMessages(
+    const std::vector<TicketItemText>& items) {
+  std::vector<std::vector<TicketItemText>> messages(1);
+  std::size_t bytes = 0;
+  for (const auto& item : items) {
+    if (bytes > 0 && bytes + item.text.size() > kItemBytesPerMessage) {
+      messages.emplace_back();
+      bytes = 0;
+    }
+    bytes += item.text.size();
+    messages.back().push_back(item);
+  }
+  return messages;
+}
+
 }  // namespace agaterun::decision
--- a/libraries/decision/ticket_store.h
+++ b/libraries/decision/ticket_store.h
@@ -64,6 +64,11 @@
   std::set<std::pair<std::string, std::uint64_t>> reported_conflicts;
 };
 
+// `items` in their order, as messages that fit a frame between nodes: at least
+// one, as an empty message says that there is nothing newer.
+std::vector<std::vector<TicketItemText>> SplitIntoMessages(
+    const std::vector<TicketItemText>& items);
+
 }  // namespace agaterun::decision
 
 #endif  // LIBRARIES_DECISION_TICKET_STORE_H_
--- a/tests/decision/ticket_merge_test.cc
+++ b/tests/decision/ticket_merge_test.cc
@@ -236,6 +236,15 @@
   BOOST_TEST(store.State()->FindService("s1")->slots == 3);
 }
 
+BOOST_AUTO_TEST_CASE(LargeStatesTravelInSeveralMessages) {
+  const TicketItemText large{.text = std::string(kLargestTicketBytes, 'x')};
+  BOOST_TEST(SplitIntoMessages({}).size() == 1U);
+  const auto messages = SplitIntoMessages({large, large, large});
+  BOOST_REQUIRE(messages.size() == 2U);
+  BOOST_TEST(messages[0].size() == 2U);
+  BOOST_TEST(messages[1].size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace agaterun::decision
