--- a/tests/decision/real_gates.h
+++ b/tests/decision/real_gates.h
@@ -2,7 +2,6 @@
 #define TESTS_DECISION_REAL_GATES_H_
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <unordered_map>
 
@@ -142,8 +141,8 @@
   RandomSource& random;
   std::shared_ptr<TicketState> state = std::make_shared<TicketState>();
   std::unordered_map<NodeAddress, Host> hosts;
-  std::map<AttemptId, Reply> replies;
-  std::map<AttemptId, std::uint64_t> fingerprints;
+  std::unordered_map<AttemptId, Reply> replies;
+  std::unordered_map<AttemptId, std::uint64_t> fingerprints;
   std::unordered_map<std::uint64_t, int> runs;
 };
 
