--- a/libraries/caller/request_headers.cc
+++ b/libraries/caller/request_headers.cc
@@ -3,6 +3,8 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <functional>
+#include <memory>
 #include <utility>
 
 #include "libraries/caller/header_reader.h"
@@ -41,41 +43,40 @@
                        std::string(kNextBindingHeader) + " unchanged");
 }
 
-Result<void> ReadBindingHeader(const HttpHeaders& headers,
-                               decision::CallArrived& event) {
-  const auto text = ReadOnce(headers, kBindingHeader);
+// Hands the text of a header to `read`, unless the header is missing.
+Result<void> ReadHeader(
+    const HttpHeaders& headers,
+    std::string_view name,
+    const std::function<Result<void>(std::string_view)>& read) {
+  const auto text = ReadOnce(headers, name);
   if (!text) {
     return tl::unexpected(text.error());
   }
-  if (!*text) {
-    return {};
-  }
-  const auto binding = ReadBinding(**text);
-  if (!binding) {
-    return tl::unexpected(binding.error());
-  }
-  event.binding = *binding;
-  return {};
+  return *text ? read(**text) : Result<void>();
+}
+
+Result<void> ReadBindingHeader(const HttpHeaders& headers,
+                               decision::CallArrived& event) {
+  return ReadHeader(headers, kBindingHeader, [&](std::string_view text) {
+    return ReadBinding(text).map(
+        [&](const decision::Binding& binding) { event.binding = binding; });
+  });
 }
 
 Result<void> ReadTimeoutHeader(const HttpHeaders& headers,
                                decision::CallArrived& event) {
-  const auto text = ReadOnce(headers, kTimeoutHeader);
-  if (!text) {
-    return tl::unexpected(text.error());
-  }
-  if (!*text) {
+  const auto read = [&](std::string_view text) -> Result<void> {
+    const auto number = ReadNumber(text, 10);
+    if (!number || *number == 0 || *number > kLongestTimeoutMilliseconds) {
+      return MakeError(ErrorKind::kMalformedMessage,
+                       std::string(kTimeoutHeader) +
+                           " must be whole milliseconds from 1 to " +
+                           std::to_string(kLongestTimeoutMilliseconds));
+    }
+    event.timeout = std::chrono::milliseconds(*number);
     return {};
-  }
-  const auto number = ReadNumber(**text, 10);
-  if (!number || *number == 0 || *number > kLongestTimeoutMilliseconds) {
-    return MakeError(ErrorKind::kMalformedMessage,
-                     std::string(kTimeoutHeader) +
-                         " must be whole milliseconds from 1 to " +
-                         std::to_string(kLongestTimeoutMilliseconds));
-  }
-  event.timeout = std::chrono::milliseconds(*number);
-  return {};
+  };
+  return ReadHeader(headers, kTimeoutHeader, read);
 }
 
 // A header with a short text, left empty when it is missing.
@@ -83,28 +84,16 @@
                              std::string_view name,
                              std::size_t limit,
                              std::string& target) {
-  const auto text = ReadOnce(headers, name);
-  if (!text) {
-    return tl::unexpected(text.error());
-  }
-  if (!*text) {
-    return {};
-  }
-  auto token = ReadToken(**text, name, limit);
-  if (!token) {
-    return tl::unexpected(token.error());
-  }
-  target = *std::move(token);
-  return {};
+  return ReadHeader(headers, name, [&](std::string_view text) {
+    return ReadToken(text, name, limit).map([&](std::string token) {
+      target = std::move(token);
+    });
+  });
 }
 
 Result<void> ReadService(std::string_view name, decision::CallArrived& event) {
-  auto service = ReadToken(name, "the service's name", kServiceBytes);
-  if (!service) {
-    return tl::unexpected(service.error());
-  }
-  event.service = *std::move(service);
-  return {};
+  return ReadToken(name, "the service's name", kServiceBytes)
+      .map([&](std::string service) { event.service = std::move(service); });
 }
 
 Result<void> ReadOutcomeQuery(const HttpRequest& request,
--- a/libraries/http/message_reader.h
+++ b/libraries/http/message_reader.h
@@ -1,11 +1,11 @@
 #ifndef LIBRARIES_HTTP_MESSAGE_READER_H_
 #define LIBRARIES_HTTP_MESSAGE_READER_H_
 
-#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -24,11 +24,43 @@
   using Parser =
       boost::beast::http::parser<kIsRequest, boost::beast::http::string_body>;
 
-  explicit MessageReader(MessageLimits limits)
-      : limits(limits), head(limits.header_bytes) {}
+  // `skip_body` for the answer to HEAD, whose headers tell of a body that does
+  // not follow.
+  explicit MessageReader(MessageLimits limits, bool skip_body = false)
+      : limits(limits), skip_body(skip_body), head(limits.header_bytes) {}
 
-  // Takes bytes up to the end of the head and returns how many were used. The
-  // parser has read the head once HeadIsDone().
+  // Takes bytes of the message and returns how many were used. Calls `on_head`
+  // once, when the head has been read.
+  Result<std::size_t> Feed(std::string_view bytes,
+                           const std::function<Result<void>()>& on_head) {
+    std::size_t used = 0;
+    if (!this->HeadIsDone()) {
+      const auto head_used = this->FeedHead(bytes);
+      if (!head_used || !this->HeadIsDone()) {
+        return head_used;
+      }
+      if (auto accepted = on_head(); !accepted) {
+        return tl::unexpected(accepted.error());
+      }
+      used = *head_used;
+    }
+    const auto body_used = this->FeedBody(bytes.substr(used));
+    if (!body_used) {
+      return body_used;
+    }
+    return used + *body_used;
+  }
+
+  bool HasStarted() const { return this->head.HasStarted(); }
+  bool HeadIsDone() const { return this->parser.has_value(); }
+  bool IsDone() const { return this->parser && this->parser->is_done(); }
+
+  // Head fields as they came, in order; fields of trailers are left out.
+  HttpHeaders& Headers() { return this->headers; }
+  Parser& Message() { return *this->parser; }
+
+ private:
+  // Takes bytes up to the end of the head and returns how many were used.
   Result<std::size_t> FeedHead(std::string_view bytes) {
     const auto used = this->head.Feed(bytes);
     if (!used || !this->head.IsDone()) {
@@ -36,6 +68,7 @@
     }
     this->parser.emplace();
     this->parser->eager(true);
+    this->parser->skip(this->skip_body);
     this->parser->header_limit(
         static_cast<std::uint32_t>(this->limits.header_bytes));
     this->parser->body_limit(this->limits.body_bytes);
@@ -80,15 +113,6 @@
     return this->CheckPending(bytes.size());
   }
 
-  bool HasStarted() const { return this->head.HasStarted(); }
-  bool HeadIsDone() const { return this->parser.has_value(); }
-  bool IsDone() const { return this->parser && this->parser->is_done(); }
-
-  // Head fields as they came, in order; fields of trailers are left out.
-  HttpHeaders& Headers() { return this->headers; }
-  Parser& Message() { return *this->parser; }
-
- private:
   Result<std::size_t> Put(std::string_view bytes) {
     boost::system::error_code error;
     const std::size_t used = this->parser->put(
@@ -123,6 +147,7 @@
   }
 
   MessageLimits limits;
+  bool skip_body;
   HeadCollector head;
   std::optional<Parser> parser;
   HttpHeaders headers;
--- a/libraries/http/request_parser.cc
+++ b/libraries/http/request_parser.cc
@@ -88,23 +88,8 @@
   if (!this->state) {
     this->state = std::make_unique<State>(this->limits);
   }
-  auto& reader = this->state->reader;
-  std::size_t used = 0;
-  if (!reader.HeadIsDone()) {
-    const auto head = reader.FeedHead(bytes);
-    if (!head || !reader.HeadIsDone()) {
-      return head;
-    }
-    if (auto read = this->state->ReadHead(); !read) {
-      return tl::unexpected(read.error());
-    }
-    used = *head;
-  }
-  const auto body = reader.FeedBody(bytes.substr(used));
-  if (!body) {
-    return body;
-  }
-  return used + *body;
+  return this->state->reader.Feed(bytes,
+                                  [this] { return this->state->ReadHead(); });
 }
 
 bool RequestParser::IsDone() const {
--- a/libraries/http/response_parser.cc
+++ b/libraries/http/response_parser.cc
@@ -21,18 +21,19 @@
 }  // namespace
 
 struct ResponseParser::State {
-  explicit State(MessageLimits limits) : reader(limits) {}
+  State(MessageLimits limits, bool skip_body)
+      : reader(limits, skip_body), skip_body(skip_body) {}
 
-  Result<void> ReadHead(bool no_body);
+  Result<void> ReadHead();
 
   MessageReader<false> reader;
   HttpResponse response;
+  bool skip_body;
   bool keep_alive = false;
   bool interim = false;
-  bool no_body = false;
 };
 
-Result<void> ResponseParser::State::ReadHead(bool head_request) {
+Result<void> ResponseParser::State::ReadHead() {
   const auto& message = this->reader.Message().get();
   const int status = static_cast<int>(message.result_int());
   if (status < 100 || status == kSwitchingProtocols) {
@@ -46,9 +47,9 @@
     return tl::unexpected(framing.error());
   }
   this->interim = IsInterim(status);
-  this->no_body = head_request || this->interim || status == kNoContent ||
-                  status == kNotModified;
-  if (*framing == BodyFraming::kNone && !this->no_body) {
+  const bool no_body = this->skip_body || this->interim ||
+                       status == kNoContent || status == kNotModified;
+  if (*framing == BodyFraming::kNone && !no_body) {
     return MakeError(ErrorKind::kMalformedMessage,
                      "the response has neither Content-Length nor chunks, so "
                      "its end can't be told from a cut; send one of them");
@@ -83,33 +84,14 @@
 
 Result<std::size_t> ResponseParser::FeedOne(std::string_view bytes) {
   if (!this->state) {
-    this->state = std::make_unique<State>(this->limits);
+    this->state = std::make_unique<State>(this->limits, this->no_body);
   }
-  auto& reader = this->state->reader;
-  std::size_t used = 0;
-  if (!reader.HeadIsDone()) {
-    const auto head = reader.FeedHead(bytes);
-    if (!head || !reader.HeadIsDone()) {
-      return head;
-    }
-    if (auto read = this->state->ReadHead(this->no_body); !read) {
-      return tl::unexpected(read.error());
-    }
-    used = *head;
-  }
-  if (this->state->no_body) {
-    return used;
-  }
-  const auto body = reader.FeedBody(bytes.substr(used));
-  if (!body) {
-    return body;
-  }
-  return used + *body;
+  return this->state->reader.Feed(bytes,
+                                  [this] { return this->state->ReadHead(); });
 }
 
 bool ResponseParser::IsDone() const {
-  return this->state && this->state->reader.HeadIsDone() &&
-         (this->state->no_body || this->state->reader.IsDone());
+  return this->state && this->state->reader.IsDone();
 }
 
 bool ResponseParser::HasStarted() const {
@@ -119,9 +101,7 @@
 HttpResponse ResponseParser::Take(bool& keep_alive) {
   VERIFY(this->IsDone());
   HttpResponse response = std::move(this->state->response);
-  if (!this->state->no_body) {
-    response.body = std::move(this->state->reader.Message().get().body());
-  }
+  response.body = std::move(this->state->reader.Message().get().body());
   keep_alive = this->state->keep_alive;
   this->state.reset();
   this->no_body = false;
--- a/tests/backend_server/scripted_server.cc
+++ b/tests/backend_server/scripted_server.cc
@@ -1,9 +1,11 @@
 #include "tests/backend_server/scripted_server.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 
 #include <array>
+#include <stdexcept>
 #include <string>
 #include <utility>
 
@@ -93,6 +95,10 @@
 }
 
 ScriptedConnection ScriptedServer::AcceptAny() {
+  pollfd waiting = {.fd = this->acceptor.native_handle(), .events = POLLIN};
+  if (poll(&waiting, 1, kHangGuardSeconds * 1000) != 1) {
+    throw std::runtime_error("no connection came");
+  }
   return ScriptedConnection(this->acceptor.accept());
 }
 
--- a/tests/caller/caller_server_test.cc
+++ b/tests/caller/caller_server_test.cc
@@ -101,6 +101,23 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(HoldsBackARequestBehindOneInFlight) {
+  ServerFixture fixture;
+  RawCaller caller = fixture.Connect();
+  caller.Send(Get("/first"));
+  const auto first = fixture.observer.Next();
+  BOOST_REQUIRE(first);
+  caller.Send(Get("/second"));
+  // Handed on now, its answer could overtake the first one's.
+  BOOST_TEST(!fixture.observer.Next(50ms));
+  fixture.server->Answer(first->call, {.status = 200, .body = "1"});
+  BOOST_TEST(caller.Read().value().body == "1");
+  const auto second = fixture.observer.Next();
+  BOOST_REQUIRE(second);
+  fixture.server->Answer(second->call, {.status = 200, .body = "2"});
+  BOOST_TEST(caller.Read().value().body == "2");
+}
+
 BOOST_AUTO_TEST_CASE(GivesEachCallerItsOwnAnswerInAnyOrder) {
   ServerFixture fixture;
   constexpr std::uint64_t kSeed = 7;
--- a/tests/caller/recording_observer.cc
+++ b/tests/caller/recording_observer.cc
@@ -29,9 +29,9 @@
   this->changed.notify_all();
 }
 
-std::optional<RecordedCall> RecordingObserver::Next() {
+std::optional<RecordedCall> RecordingObserver::Next(Duration wait) {
   std::unique_lock lock(this->mutex);
-  if (!this->changed.wait_for(lock, kHangGuard,
+  if (!this->changed.wait_for(lock, wait,
                               [&] { return !this->calls.empty(); })) {
     return std::nullopt;
   }
--- a/tests/caller/recording_observer.h
+++ b/tests/caller/recording_observer.h
@@ -27,7 +27,7 @@
   void OnCallerGone(decision::CallId call) override;
 
   // The next request, waiting for it; nothing when none comes.
-  std::optional<RecordedCall> Next();
+  std::optional<RecordedCall> Next(Duration wait = 10s);
 
   // Waits until `count` callers went away; false when they don't.
   bool WaitForGone(std::size_t count);
