--- a/libraries/decision/concurrency_limit.cc
+++ b/libraries/decision/concurrency_limit.cc
@@ -9,7 +9,7 @@
 namespace {
 
 // A probe changes the limit by this part of itself.
-constexpr double kStep = 0.25;
+constexpr double kStep = 0.5;
 
 // The published slots may be wrong by this factor either way.
 constexpr int kHintError = 2;
@@ -17,10 +17,10 @@
 constexpr int kLeastSamples = 16;
 
 // A probe without a verdict by then ends without one.
-constexpr int kMostSamples = 400;
+constexpr int kMostSamples = 100;
 
 // Standard errors that a verdict must stand clear by.
-constexpr double kConfidence = 2.5;
+constexpr double kConfidence = 2;
 
 // Growth of own time per growth of the limit that tells flat from steep; the
 // two ideal cases are 0 and 1.
@@ -31,18 +31,37 @@
 constexpr double kChangedSlope = 2.5;
 
 // Own times up to this multiple of the unloaded one are normal.
-constexpr double kNormal = 1.3;
+constexpr double kNormal = 1.15;
+
+// A limit that is too high by kHintError makes own times grow by so much at
+// most. Longer ones have another cause, which a lower limit would not cure.
+constexpr double kTooHighLeast = 1.3;
+constexpr double kTooHighMost = 2.2;
+
+// One request in so many that misses its deadline while it runs is too much.
+constexpr int kManyAborted = 4;
 
 constexpr Duration kShortestRest = 500ms;
 constexpr Duration kLongestRest = 8s;
 
+// A probe that demand does not fill ends after this time.
+constexpr Duration kLongestProbe = 3s;
+
 // Without pressure for so long, what was learned is taken as outdated.
 constexpr Duration kForgottenAfter = 30s;
 
+// A rest lasts at least so many own times, since a probe takes a few of them.
+constexpr int kRestingTimes = 10;
+
+// A rest ends when own time falls to this part of what it was.
+constexpr double kQuickAgain = 0.7;
+
 constexpr Duration kShedInterval = 100ms;
 constexpr double kShedFactor = 0.9;
 
-constexpr double kUnloadedSmoothing = 0.05;
+// Requests that the unloaded own time is taken over, and the fewest of them.
+constexpr int kUnloadedMemory = 64;
+constexpr int kLeastUnloaded = 32;
 
 // Own times of a new limit show after the requests of the old one are gone.
 constexpr int kSettlingTimes = 2;
@@ -85,20 +104,10 @@
   }
   const double seconds = ToSeconds(own);
   if (running * 2 <= this->limit) {
-    this->unloaded =
-        this->unloaded == 0
-            ? seconds
-            : this->unloaded + kUnloadedSmoothing * (seconds - this->unloaded);
+    this->AddUnloaded(seconds);
   }
-  if (running * 10 < this->limit * 9) {
-    // The limit does not bind: there is nothing to learn about it, and what
-    // was begun can't be compared with what comes later.
-    if (now - this->last_saturated > kForgottenAfter) {
-      const double kept = this->unloaded;
-      this->Restart();
-      this->unloaded = kept;
-      this->last_saturated = now;
-    }
+  if (running < this->limit) {
+    this->OnUnsaturated(now);
     return;
   }
   this->last_saturated = now;
@@ -108,7 +117,10 @@
   auto& sample =
       this->phase == Phase::kHold ? this->base_sample : this->probe_sample;
   sample.Add(seconds);
-  if (sample.Count() < kLeastSamples) {
+  // Requests that were started together end together. A sample that spans one
+  // own time has seen all of such a round, not only its quick part.
+  if (sample.Count() < kLeastSamples ||
+      ToSeconds(now - this->settled_at) < sample.Mean()) {
     return;
   }
   switch (this->phase) {
@@ -124,6 +136,44 @@
   }
 }
 
+void ConcurrencyLimit::AddUnloaded(double seconds) {
+  this->unloaded_count = std::min(this->unloaded_count + 1, kUnloadedMemory);
+  this->unloaded_mean += (seconds - this->unloaded_mean) / this->unloaded_count;
+}
+
+double ConcurrencyLimit::Unloaded() const {
+  return this->unloaded_count < kLeastUnloaded ? 0 : this->unloaded_mean;
+}
+
+void ConcurrencyLimit::OnAborted(Instant now, Duration own, int running) {
+  if (!this->options.adaptive || running < this->limit ||
+      now < this->settled_at) {
+    return;
+  }
+  if (this->phase == Phase::kAbove) {
+    // Requests cut off at their deadline make own time look flat.
+    this->Rest(now);
+    return;
+  }
+  this->aborted += this->phase == Phase::kHold ? 1 : 0;
+  this->OnFinished(now, own, running);
+}
+
+void ConcurrencyLimit::OnUnsaturated(Instant now) {
+  // The limit does not bind: there is nothing to learn about it.
+  if (this->phase != Phase::kHold && now - this->settled_at > kLongestProbe) {
+    this->Rest(now);
+  }
+  if (now - this->last_saturated > kForgottenAfter) {
+    const double mean = this->unloaded_mean;
+    const int count = this->unloaded_count;
+    this->Restart();
+    this->unloaded_mean = mean;
+    this->unloaded_count = count;
+    this->last_saturated = now;
+  }
+}
+
 void ConcurrencyLimit::EnterHold(Instant now) {
   const double mean =
       std::max(this->base_sample.Mean(), this->probe_sample.Mean());
@@ -131,6 +181,7 @@
   this->limit = this->base;
   this->base_sample = {};
   this->probe_sample = {};
+  this->aborted = 0;
   this->settled_at =
       now + std::chrono::duration_cast<Duration>(
                 std::chrono::duration<double>(kSettlingTimes * mean));
@@ -148,7 +199,10 @@
 void ConcurrencyLimit::Rest(Instant now) {
   // A knee that was found is tested again ever less often, since each test
   // costs a little; but it never stops being tested.
-  this->rest_until = now + this->rest;
+  const auto probe = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(kRestingTimes * this->base_sample.Mean()));
+  this->rest_until = now + std::max(this->rest, probe);
+  this->rest_mean = this->base_sample.Mean();
   this->rest = std::min(kLongestRest, this->rest * 2);
   this->EnterHold(now);
 }
@@ -182,23 +236,58 @@
   if (this->base_sample.Count() >= kMostSamples) {
     // Old values would hide a change of the backend server.
     this->base_sample = {};
+    this->aborted = 0;
     return;
   }
-  if (now < this->rest_until) {
+  // Below the published slots with normal own times, the way up is tried at
+  // once: a limit must rise as fast as it fell.
+  const bool too_low =
+      this->base < this->options.slots && this->IsNormal(this->base_sample);
+  // A verdict on a slow backend server says nothing once it is quick again.
+  const bool changed = this->base_sample.Mean() < kQuickAgain * this->rest_mean;
+  if (changed) {
+    this->rest = kShortestRest;
+    this->rest_mean = 0;
+    this->rest_until = now;
+    // This sample still mixes slow requests with quick ones.
+    this->EnterHold(now);
     return;
   }
-  const bool normal = this->unloaded > 0 &&
-                      this->base_sample.Mean() <= kNormal * this->unloaded;
-  if (!normal && this->Below() < this->base) {
+  if (now < this->rest_until && !too_low) {
+    return;
+  }
+  if (this->MayBeTooHigh(this->base_sample) && this->Below() < this->base) {
     this->EnterProbe(now, Phase::kBelow);
   } else if (this->Above() > this->base) {
     this->EnterProbe(now, Phase::kAbove);
   }
 }
 
+bool ConcurrencyLimit::MayBeTooHigh(const OwnTimeSample& sample) const {
+  if (this->aborted * kManyAborted > sample.Count()) {
+    return true;
+  }
+  if (this->Unloaded() <= 0) {
+    return false;
+  }
+  const double ratio = sample.Mean() / this->Unloaded();
+  const double error = kConfidence * std::sqrt(sample.RelativeVariance());
+  return ratio * (1 - error) >= kTooHighLeast && ratio <= kTooHighMost;
+}
+
+bool ConcurrencyLimit::IsNormal(const OwnTimeSample& sample) const {
+  const double error = std::sqrt(sample.RelativeVariance());
+  return this->Unloaded() > 0 &&
+         sample.Mean() * (1 + error) <= kNormal * this->Unloaded();
+}
+
 void ConcurrencyLimit::EndAbove(Instant now) {
   const bool last = this->probe_sample.Count() >= kMostSamples;
-  switch (this->Compare(this->base_sample, this->probe_sample)) {
+  const auto verdict =
+      this->IsNormal(this->probe_sample)
+          ? Verdict::kFlat
+          : this->Compare(this->base_sample, this->probe_sample);
+  switch (verdict) {
     case Verdict::kFlat:
       this->base = this->limit;
       this->base_sample = this->probe_sample;
@@ -226,23 +315,10 @@
   switch (this->Compare(this->probe_sample, this->base_sample)) {
     case Verdict::kSteep:
       this->base = this->limit;
-      this->base_sample = this->probe_sample;
       this->rest = kShortestRest;
-      if (this->Below() < this->base) {
-        this->EnterProbe(now, Phase::kBelow);
-      } else {
-        this->Rest(now);
-      }
+      this->EnterHold(now);
       return;
     case Verdict::kFlat:
-      // Not the concurrency makes it slow: the way up may be open.
-      this->limit = this->base;
-      if (this->Above() > this->base) {
-        this->EnterProbe(now, Phase::kAbove);
-      } else {
-        this->Rest(now);
-      }
-      return;
     case Verdict::kChanged:
       this->Rest(now);
       return;
--- a/libraries/decision/gate.h
+++ b/libraries/decision/gate.h
@@ -112,6 +112,11 @@
   // Why no request can be taken just now, or kNone.
   Reason Closed(const VisitRequest& request) const;
   bool IsIdempotent(const VisitRequest& request) const;
+  // Whether a running request is broken off when nobody waits for it.
+  bool MayAbort(const VisitRequest& request) const {
+    return this->IsIdempotent(request) &&
+           !this->options.disabled.Has(Mechanism::kCancellation);
+  }
 
   void Admit(Instant now, const VisitArrived& event, Actions& actions);
   // Starts a visit at the backend server.
@@ -124,6 +129,10 @@
               const VisitArrived& event,
               Reason reason,
               Actions& actions);
+  // Refuses queued visits of the classes below `importance`.
+  void RefuseLessImportant(Instant now,
+                           Importance importance,
+                           Actions& actions);
   // A visit that was not run gets its last word.
   void EndNotRun(Instant now, VisitId id, Reason reason, Actions& actions);
   // A running visit's outcome can't be told any more.
--- a/libraries/decision/node.cc
+++ b/libraries/decision/node.cc
@@ -8,12 +8,14 @@
     : options(std::move(options)),
       gate({.self = this->options.self,
             .incarnation = this->options.incarnation,
-            .service = this->options.service},
+            .service = this->options.service,
+            .disabled = this->options.disabled},
            random),
       origin({.self = this->options.self,
               .incarnation = this->options.incarnation,
               .region = this->options.region,
-              .failure_domain = this->options.failure_domain},
+              .failure_domain = this->options.failure_domain,
+              .disabled = this->options.disabled},
              this->gate,
              this->peers,
              random),
@@ -174,9 +176,13 @@
 }
 
 void Node::StopWhenListed(Instant now, Actions& actions) {
-  if (this->spread.ListedAsLeaving()) {
-    this->Dispatch(now, StopRequested{}, actions);
+  if (this->stopping || !this->spread.ListedAsLeaving()) {
+    return;
   }
+  actions.push_back(Report{.event = LogEvent::kHostLeaving,
+                           .subject = this->options.self.ToString(),
+                           .detail = "the platform lists it as leaving"});
+  this->Dispatch(now, StopRequested{}, actions);
 }
 
 void Node::Dispatch(Instant now,
--- a/libraries/decision/node.h
+++ b/libraries/decision/node.h
@@ -10,6 +10,7 @@
 #include "libraries/base/random.h"
 #include "libraries/decision/events.h"
 #include "libraries/decision/gate.h"
+#include "libraries/decision/mechanism.h"
 #include "libraries/decision/origin.h"
 #include "libraries/decision/peer_table.h"
 #include "libraries/decision/ticket_spread.h"
@@ -30,6 +31,8 @@
     std::string failure_domain;
     std::string service;  // Of the backend server on this host; may be empty.
     std::vector<NodeAddress> seeds;
+    // Switched off, to measure what each is worth.
+    MechanismSet disabled = {};
   };
 
   // `random` outlives the node.
@@ -44,6 +47,10 @@
   const std::shared_ptr<const TicketState>& State() const;
   const PeerTable& Peers() const { return this->peers; }
   const Gate& GateSide() const { return this->gate; }
+  // What the gate admits at `now`.
+  AdmissionThreshold Threshold(Instant now) {
+    return this->gate.Threshold(now);
+  }
   const Origin& OriginSide() const { return this->origin; }
   const TicketSpread& Spread() const { return this->spread; }
   bool IsStopping() const { return this->stopping; }
--- a/libraries/decision/origin.cc
+++ b/libraries/decision/origin.cc
@@ -6,6 +6,9 @@
 
 namespace {
 
+// Retries of each hop when they are not conserved: three tries, as is common.
+constexpr int kRetriesPerHop = 2;
+
 // Longest time for a query of a binding, which no route gives a deadline.
 constexpr Duration kQueryDeadline = 1s;
 
@@ -31,7 +34,8 @@
       runner({.self = this->options.self,
               .incarnation = this->options.incarnation,
               .region = this->options.region,
-              .failure_domain = this->options.failure_domain},
+              .failure_domain = this->options.failure_domain,
+              .disabled = this->options.disabled},
              peers,
              random) {}
 
@@ -130,7 +134,9 @@
       return tl::unexpected(Reason::kCancelled);
     }
     call.parent = event.parent;
-    call.deadline = std::min(call.deadline, parent->deadline);
+    if (!this->options.disabled.Has(Mechanism::kCancellation)) {
+      call.deadline = std::min(call.deadline, parent->deadline);
+    }
     call.request.importance =
         std::min(call.request.importance, parent->importance);
     call.request.admission_key = parent->admission_key;
@@ -153,54 +159,9 @@
   return call;
 }
 
-bool Origin::JoinByKey(Instant now, Call& call, Actions& actions) {
-  if (call.idempotency_key.empty()) {
-    return false;
-  }
-  const auto answer = [&](AnswerCaller answer) {
-    answer.call = call.id;
-    actions.push_back(std::move(answer));
-    return true;
-  };
-  auto* entry =
-      this->keys.Find(*call.parent, call.request.service, call.idempotency_key);
-  if (entry == nullptr) {
-    entry = this->keys.Add(*call.parent, call.request.service,
-                           call.idempotency_key);
-    if (entry == nullptr) {
-      return answer(
-          {.outcome = Outcome::kNotRun, .reason = Reason::kLimitReached});
-    }
-    entry->fingerprint = call.request.fingerprint;
-    return false;
-  }
-  if (entry->fingerprint != call.request.fingerprint) {
-    return answer({.outcome = Outcome::kNotRun, .reason = Reason::kMalformed});
-  }
-  if (entry->completed) {
-    return answer(*entry->completed);
-  }
-  if (entry->running) {
-    call.phase = CallPhase::kJoined;
-    call.leader = *entry->running;
-    this->calls.Find(call.leader)->joined.push_back(call.id);
-    this->parents.NestedCallStarted(now, *call.parent);
-    this->calls.Add(std::move(call));
-    return true;
-  }
-  // The first may have run: a repeat asks under the same binding.
-  if (!entry->binding) {
-    return answer(
-        {.outcome = Outcome::kUnknown, .reason = Reason::kBindingLost});
-  }
-  call.binding = entry->binding;
-  call.outcome = CallOutcome({.may_have_run = true});
-  return false;
-}
-
 bool Origin::Shed(Instant now, const Call& call, Actions& actions) {
   // Refusing here fences nothing, so a bound call goes to its gate.
-  if (call.binding) {
+  if (call.binding || this->options.disabled.Has(Mechanism::kEarlyShedding)) {
     return false;
   }
   const auto& request = call.request;
@@ -230,9 +191,13 @@
 
 void Origin::Start(Instant now, Call call, int retries, Actions& actions) {
   if (call.parent) {
-    retries = this->parents.LendAllowance(*call.parent, retries);
     this->parents.NestedCallStarted(now, *call.parent);
   }
+  if (this->options.disabled.Has(Mechanism::kRetryAllowance)) {
+    retries = kRetriesPerHop;
+  } else if (call.parent) {
+    retries = this->parents.LendAllowance(*call.parent, retries);
+  }
   call.allowance = RetryAllowance({.retries = retries});
   if (!call.idempotency_key.empty()) {
     this->keys.Find(*call.parent, call.request.service, call.idempotency_key)
@@ -363,42 +328,4 @@
   this->calls.Erase(call.id);
 }
 
-void Origin::RecordKey(const Call& call, const AnswerCaller& answer) {
-  if (call.idempotency_key.empty()) {
-    return;
-  }
-  const auto visit = *call.parent;
-  auto* entry =
-      this->keys.Find(visit, call.request.service, call.idempotency_key);
-  if (entry == nullptr) {
-    return;
-  }
-  entry->running.reset();
-  switch (answer.outcome) {
-    case Outcome::kCompleted:
-      entry->completed = answer;
-      return;
-    case Outcome::kUnknown:
-      entry->binding = call.binding;
-      return;
-    case Outcome::kNotRun:
-      // A repeat starts afresh.
-      this->keys.Erase(visit, call.request.service, call.idempotency_key);
-      return;
-  }
-}
-
-void Origin::EndJoined(Instant now,
-                       Call& call,
-                       AnswerCaller answer,
-                       Actions& actions) {
-  for (const auto id : call.joined) {
-    this->parents.NestedCallEnded(now, *call.parent, 0, call.thresholds);
-    answer.call = id;
-    actions.push_back(answer);
-    this->calls.Erase(id);
-  }
-  call.joined.clear();
-}
-
 }  // namespace agaterun::decision
