--- a/libraries/client/caller_client.cc
+++ b/libraries/client/caller_client.cc
@@ -91,7 +91,7 @@
  private:
   struct Try {
     explicit Try(const asio::strand<asio::io_context::executor_type>& strand)
-        : timeout(strand), pause(strand) {}
+        : timeout(strand), try_timeout(strand), pause(strand) {}
 
     CallerRequest request;
     Callback done;
@@ -101,6 +101,7 @@
     std::size_t node = 0;
     bool waits_for_response = false;
     asio::steady_timer timeout;
+    asio::steady_timer try_timeout;
     asio::steady_timer pause;
   };
 
@@ -141,9 +142,27 @@
              1, static_cast<std::int64_t>(ToMilliseconds(left))))});
     ++call.result.sends;
     call.waits_for_response = true;
+    this->StartTryTimeout(id, call);
     this->connections[call.node]->Start(VisitId{.low = id}, std::move(request));
   }
 
+  void StartTryTimeout(std::uint64_t id, Try& call) {
+    if (call.request.try_timeout == Duration{}) {
+      return;
+    }
+    call.try_timeout.expires_after(call.request.try_timeout);
+    call.try_timeout.async_wait(
+        [self = this->shared_from_this(), id](const std::error_code& error) {
+          const auto found = self->calls.find(id);
+          if (!error && found != self->calls.end() &&
+              found->second->waits_for_response) {
+            // OnFailure follows and resends.
+            const auto& call = *found->second;
+            self->connections[call.node]->Abort(VisitId{.low = id});
+          }
+        });
+  }
+
   void OnResponse(std::uint64_t id, HttpResponse response) {
     const auto found = this->calls.find(id);
     if (found == this->calls.end()) {
@@ -151,6 +170,7 @@
     }
     auto call = found->second;
     call->waits_for_response = false;
+    call->try_timeout.cancel();
     this->KeepNextBinding(*call, response);
     ReadOutcome(*call, response);
     call->result.response = std::move(response);
@@ -173,6 +193,7 @@
     }
     auto call = found->second;
     call->waits_for_response = false;
+    call->try_timeout.cancel();
     call->result.outcome = not_sent ? Outcome::kNotRun : Outcome::kUnknown;
     call->result.reason = "connection";
     this->ResendOrFinish(id, *call, Duration{});
@@ -240,6 +261,7 @@
   void Finish(std::uint64_t id, Try& call) {
     const auto keep_alive = this->calls.at(id);
     call.timeout.cancel();
+    call.try_timeout.cancel();
     call.pause.cancel();
     call.result.latency = this->clock.Now() - call.started;
     this->calls.erase(id);
--- a/libraries/client/caller_client.h
+++ b/libraries/client/caller_client.h
@@ -36,6 +36,9 @@
   // keeps through resends by itself.
   bool idempotent = true;
   Duration timeout = 1s;  // From the first send to the whole answer.
+  // Longest wait for the answer to one try; zero waits until `timeout`. An
+  // impatient caller gives up a try and sends the next.
+  Duration try_timeout{};
   int resends = 0;
   ResendPolicy resend_policy = ResendPolicy::kNone;
 };
--- a/libraries/decision/node.cc
+++ b/libraries/decision/node.cc
@@ -77,8 +77,11 @@
 
 void Node::Dispatch(Instant now, const CallArrived& event, Actions& actions) {
   const auto refuse = [&](Reason reason) {
+    // Under a binding, an earlier copy may have run through another node.
     actions.push_back(AnswerCaller{
-        .call = event.call, .outcome = Outcome::kNotRun, .reason = reason});
+        .call = event.call,
+        .outcome = event.binding ? Outcome::kUnknown : Outcome::kNotRun,
+        .reason = reason});
   };
   if (!this->spread.Ready()) {
     refuse(Reason::kWaitingForState);
--- a/libraries/driver/node_driver.cc
+++ b/libraries/driver/node_driver.cc
@@ -179,12 +179,17 @@
   return nested ? this->nested_callers.get() : this->callers.get();
 }
 
-void NodeDriver::Refuse(decision::CallId call, bool nested, Reason reason) {
+void NodeDriver::Refuse(const decision::CallArrived& event,
+                        bool nested,
+                        Reason reason) {
+  // Under a binding, an earlier copy may have run through another node.
   const AnswerCaller answer{
-      .call = call, .outcome = Outcome::kNotRun, .reason = reason};
+      .call = event.call,
+      .outcome = event.binding ? Outcome::kUnknown : Outcome::kNotRun,
+      .reason = reason};
   this->metrics.RecordCall(decision::Importance::kNormal, answer.outcome,
                            reason, Duration{});
-  this->ServerOf(nested)->Answer(call, caller::WriteAnswer(answer));
+  this->ServerOf(nested)->Answer(event.call, caller::WriteAnswer(answer));
 }
 
 void NodeDriver::OnRequest(decision::CallId call,
@@ -202,14 +207,14 @@
   const auto state = this->published.Read();
   const auto service = state->FindService(event->service);
   if (!service) {
-    this->Refuse(call, nested,
+    this->Refuse(*event, nested,
                  state->items.empty() ? Reason::kWaitingForState
                                       : Reason::kNoSuchService);
     return;
   }
   const auto* route = decision::FindRoute(*service, event->method, event->path);
   if (route == nullptr && event->kind == decision::VisitKind::kRun) {
-    this->Refuse(call, nested, Reason::kNoSuchRoute);
+    this->Refuse(*event, nested, Reason::kNoSuchRoute);
     return;
   }
   StoredCall stored{
--- a/libraries/driver/node_driver.h
+++ b/libraries/driver/node_driver.h
@@ -117,7 +117,9 @@
   void FinishStop(Instant latest);
 
   // Answers without a decision: the call never became one.
-  void Refuse(decision::CallId call, bool nested, decision::Reason reason);
+  void Refuse(const decision::CallArrived& event,
+              bool nested,
+              decision::Reason reason);
   caller::CallerServer* ServerOf(bool nested);
 
   // Runs `read` on the strand and waits for its text.
--- a/libraries/load/load_generator.cc
+++ b/libraries/load/load_generator.cc
@@ -101,6 +101,7 @@
                   .body = kind.body},
       .idempotent = kind.idempotent,
       .timeout = kind.timeout,
+      .try_timeout = this->options.try_timeout,
       .resends = this->options.resends,
       .resend_policy = this->options.resend_policy};
   ++this->in_flight;
--- a/libraries/load/load_generator.h
+++ b/libraries/load/load_generator.h
@@ -34,6 +34,7 @@
     Duration length = 10s;
     std::vector<Surge> surges;
     int resends = 0;
+    Duration try_timeout{};  // Of one try; zero waits for the kind's timeout.
     client::ResendPolicy resend_policy = client::ResendPolicy::kNone;
     std::size_t connections = 512;
     std::uint64_t seed = 1;
--- a/services/agaterun/load_command.cc
+++ b/services/agaterun/load_command.cc
@@ -23,6 +23,7 @@
   char* trigger = nullptr;
   char* resend_policy = nullptr;
   int resends = 0;
+  int try_timeout_ms = 0;
   int connections = 512;
   int seed = 1;
   double warm_up = 1;
@@ -81,6 +82,7 @@
       .rate = load.rate,
       .length = Seconds(load.seconds),
       .resends = load.resends,
+      .try_timeout = std::chrono::milliseconds(load.try_timeout_ms),
       .connections = static_cast<std::size_t>(load.connections),
       .seed = static_cast<std::uint64_t>(load.seed)};
   if (load.surge != nullptr) {
@@ -176,6 +178,8 @@
        "none, at-once or retry-after (default none)", "POLICY"},
       {"resends", 0, POPT_ARG_INT, &load.resends, 0,
        "resends of one request at most", "N"},
+      {"try-timeout", 0, POPT_ARG_INT, &load.try_timeout_ms, 0,
+       "give up a try and resend after so many milliseconds", "MS"},
       {"connections", 'c', POPT_ARG_INT, &load.connections, 0,
        "connections kept per node (default 512)", "N"},
       {"seed", 0, POPT_ARG_INT, &load.seed, 0,
--- a/tests/decision/node_test.cc
+++ b/tests/decision/node_test.cc
@@ -23,6 +23,27 @@
   BOOST_TEST((answer->reason == Reason::kWaitingForState));
 }
 
+BOOST_AUTO_TEST_CASE(NeverTellsNotRunOfARequestThatCameWithABinding) {
+  SeededRandom random(1);
+  Node node({.self = NodeAddress{.ip = 0x7f000001, .port = 7400},
+             .incarnation = 1,
+             .service = "drafts"},
+            random);
+  Actions actions;
+  node.Start(0s, actions);
+  actions.clear();
+  // An earlier copy may have run through another node.
+  node.Handle(1ms,
+              CallArrived{.call = 1,
+                          .service = "drafts",
+                          .method = "POST",
+                          .binding = Binding{.incarnation = 7, .sequence = 1}},
+              actions);
+  const auto* answer = std::get_if<AnswerCaller>(&actions.at(0));
+  BOOST_REQUIRE(answer != nullptr);
+  BOOST_TEST((answer->outcome == Outcome::kUnknown));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace agaterun::decision
