Driver: End the process when the host list makes the node leave

Cause: a node that the host list names as leaving drained and then stayed alive, without event 101, and went on taking connections: only Stop() set the callback and closed the listener. Change: the driver notes a planned stop from the decisions, whoever asked; main waits for a signal or the end. /health follows readiness. ticket diff shows the keys that differ, since /tickets has the texts.

--- a/libraries/driver/node_driver.cc
+++ b/libraries/driver/node_driver.cc
@@ -47,7 +47,8 @@
 
 NodeDriver::NodeDriver(asio::io_context& io,
                        NodeSettings settings,
-                       decision::MechanismSet disabled)
+                       decision::MechanismSet disabled,
+                       StoppedCallback on_stopped)
     : io(io),
       strand(asio::make_strand(io)),
       settings(std::move(settings)),
@@ -61,18 +62,21 @@
                  .seeds = this->settings.seeds,
                  .disabled = disabled},
                 this->random),
-      wake_timer(this->strand) {}
+      wake_timer(this->strand),
+      on_stopped(std::move(on_stopped)) {}
 
 NodeDriver::~NodeDriver() = default;
 
-Result<std::unique_ptr<NodeDriver>> NodeDriver::Create(asio::io_context& io,
-                                                       NodeSettings settings) {
+Result<std::unique_ptr<NodeDriver>> NodeDriver::Create(
+    asio::io_context& io,
+    NodeSettings settings,
+    StoppedCallback on_stopped) {
   const auto disabled = ReadMechanisms(settings.disabled_mechanisms);
   if (!disabled) {
     return tl::unexpected(disabled.error());
   }
-  std::unique_ptr<NodeDriver> driver(
-      new NodeDriver(io, std::move(settings), *disabled));
+  std::unique_ptr<NodeDriver> driver(new NodeDriver(
+      io, std::move(settings), *disabled, std::move(on_stopped)));
   if (auto opened = driver->Open(); !opened) {
     return tl::unexpected(opened.error());
   }
@@ -138,22 +142,27 @@
   asio::dispatch(this->strand, std::move(work));
 }
 
-void NodeDriver::Stop(std::function<void()> on_stopped) {
-  this->OnStrand([this, on_stopped = std::move(on_stopped)]() mutable {
-    this->on_stopped = std::move(on_stopped);
-    this->leaving = true;
-    Log(LogEvent::kStopping);
-    this->callers->StopAccepting();
-    this->Handle(decision::StopRequested{});
-  });
+void NodeDriver::Stop() {
+  this->OnStrand([this] { this->Handle(decision::StopRequested{}); });
 }
 
 void NodeDriver::Handle(const decision::Event& event) {
   decision::Actions actions;
   this->decisions.Handle(this->clock.Now(), event, actions);
+  this->NoteStatus();
   this->CarryOut(std::move(actions));
 }
 
+void NodeDriver::NoteStatus() {
+  this->ready = this->decisions.Spread().Ready();
+  if (!this->decisions.IsStopping() || this->leaving) {
+    return;
+  }
+  this->leaving = true;
+  Log(LogEvent::kStopping);
+  this->callers->StopAccepting();
+}
+
 void NodeDriver::CarryOut(decision::Actions actions) {
   for (const auto& action : actions) {
     std::visit([this](const auto& concrete) { this->Perform(concrete); },
@@ -510,8 +519,7 @@
   if (this->leaving) {
     return "leaving";
   }
-  return this->published.Read()->items.empty() ? "waiting-for-state"
-                                               : "serving";
+  return this->ready ? "serving" : "waiting-for-state";
 }
 
 std::string NodeDriver::StateDump() {
--- a/libraries/driver/node_driver.h
+++ b/libraries/driver/node_driver.h
@@ -36,14 +36,19 @@
                          public platform::PlatformObserver,
                          public operator_interface::AdminSource {
  public:
+  // Runs once a planned stop, asked for by Stop() or by the host list, is
+  // complete. On a thread of the io_context.
+  using StoppedCallback = std::function<void()>;
+
   // Opens every listener, then starts. Fails when an address is taken, or when
   // the settings disable a mechanism that is not known.
   static Result<std::unique_ptr<NodeDriver>> Create(asio::io_context& io,
-                                                    NodeSettings settings);
+                                                    NodeSettings settings,
+                                                    StoppedCallback on_stopped);
   ~NodeDriver() override;
 
-  // Asks for a planned stop. `on_stopped` runs once nothing is in flight.
-  void Stop(std::function<void()> on_stopped);
+  // Asks for a planned stop. Returns at once.
+  void Stop();
 
   // CallerObserver.
   void OnRequest(decision::CallId call,
@@ -87,7 +92,8 @@
  private:
   NodeDriver(asio::io_context& io,
              NodeSettings settings,
-             decision::MechanismSet disabled);
+             decision::MechanismSet disabled,
+             StoppedCallback on_stopped);
   Result<void> Open();
 
   // Runs `work` on the decision strand, inline when the strand is free and
@@ -113,6 +119,9 @@
   void Perform(const decision::Report& action);
   void Perform(const decision::Drained& action);
 
+  // Notes what an event changed for other threads, a planned stop among it.
+  void NoteStatus();
+
   // Stops once all connections are closed, at the latest at `latest`.
   void FinishStop(Instant latest);
 
@@ -138,11 +147,12 @@
   operator_interface::Metrics metrics;
   asio::steady_timer wake_timer;
   std::atomic<decision::CallId> call_ids{1};
+  std::atomic<bool> ready{false};
   std::atomic<bool> leaving{false};
   // Events that actions of this node raise at this same node.
   std::deque<decision::Event> own_events;
   bool handling = false;
-  std::function<void()> on_stopped;
+  StoppedCallback on_stopped;
 
   std::unique_ptr<node::NodeLinks> links;
   std::unique_ptr<backend_server::BackendClient> backend;
--- a/libraries/driver/state_dump.cc
+++ b/libraries/driver/state_dump.cc
@@ -53,12 +53,15 @@
   return dump;
 }
 
-json ItemsOf(const decision::TicketState& state) {
+json ItemsOf(const decision::TicketState& state, bool with_text) {
   json items = json::array();
   for (const auto& [name, item] : state.items) {
     items.push_back({{"name", name},
                      {"number", item.number},
                      {"text_hash", Hexadecimal(item.text_hash)}});
+    if (with_text) {
+      items.back()["text"] = item.text;
+    }
   }
   return items;
 }
@@ -92,7 +95,8 @@
         {"backend_server", connections.backend}}},
       {"platform_calls", connections.platform_calls},
       {"tickets",
-       {{"digest", Hexadecimal(state.digest)}, {"items", ItemsOf(state)}}},
+       {{"digest", Hexadecimal(state.digest)},
+        {"items", ItemsOf(state, false)}}},
       {"peers", DumpPeers(node.Peers(), now)},
   };
   return dump.dump(kIndent) + "\n";
@@ -100,7 +104,7 @@
 
 std::string DumpTickets(const decision::TicketState& state) {
   const json dump = {{"digest", Hexadecimal(state.digest)},
-                     {"items", ItemsOf(state)}};
+                     {"items", ItemsOf(state, true)}};
   return dump.dump(kIndent) + "\n";
 }
 
--- a/libraries/driver/state_dump.h
+++ b/libraries/driver/state_dump.h
@@ -25,7 +25,8 @@
                       ConnectionCounts connections,
                       Instant now);
 
-// Number, digest and name of each item in force, as an indented JSON object.
+// Digest of all items in force, and name, number and text of each, as an
+// indented JSON object.
 std::string DumpTickets(const decision::TicketState& state);
 
 }  // namespace agaterun::driver
--- a/services/agaterun/ticket_command.cc
+++ b/services/agaterun/ticket_command.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "libraries/decision/ticket.h"
+#include "libraries/decision/ticket_diff.h"
 #include "services/agaterun/command.h"
 
 namespace agaterun {
@@ -42,15 +43,24 @@
   return kSuccess;
 }
 
-// Number in force of the item called `name`, or nothing.
-std::optional<std::uint64_t> NumberInForce(const nlohmann::json& tickets,
-                                           const std::string& name) {
-  for (const auto& item : tickets.at("items")) {
-    if (item.at("name") == name) {
-      return item.at("number").get<std::uint64_t>();
+// The state that a node's /tickets describes, or nothing when it is none.
+std::optional<decision::TicketState> ReadTicketsInForce(
+    const std::string& text) {
+  const auto tickets = nlohmann::json::parse(text, nullptr, false);
+  if (!tickets.is_object() || !tickets.contains("items")) {
+    return std::nullopt;
+  }
+  decision::TicketState state;
+  for (const auto& row : tickets.at("items")) {
+    auto item = decision::ParseTicketItem({.name = row.at("name"),
+                                           .number = row.at("number"),
+                                           .text = row.at("text")});
+    if (!item) {
+      return std::nullopt;
     }
+    state.items[item->name] = std::move(*item);
   }
-  return std::nullopt;
+  return state;
 }
 
 int Diff(const std::string& path, const std::string& node_text) {
@@ -65,30 +75,17 @@
   }
   httplib::Client client(node->IpToString(), node->port);
   const auto response = client.Get("/tickets");
-  const auto tickets =
-      response ? nlohmann::json::parse(response->body, nullptr, false)
-               : nlohmann::json();
-  if (!tickets.is_object() || !tickets.contains("items")) {
+  const auto in_force =
+      response ? ReadTicketsInForce(response->body) : std::nullopt;
+  if (!in_force) {
     std::fprintf(stderr,
                  "agaterun ticket: no tickets from %s; check that the node "
                  "runs and that this is its administration address\n",
                  node_text.c_str());
     return kFailure;
   }
-  for (const auto& item : ticket->items) {
-    const auto in_force = NumberInForce(tickets, item.name);
-    if (!in_force) {
-      std::printf("+ %s: new with ticket %lu\n", item.name.c_str(),
-                  static_cast<unsigned long>(item.number));
-    } else if (*in_force >= item.number) {
-      std::printf("= %s: ticket %lu is in force; %lu would change nothing\n",
-                  item.name.c_str(), static_cast<unsigned long>(*in_force),
-                  static_cast<unsigned long>(item.number));
-    } else {
-      std::printf("~ %s: ticket %lu replaces %lu\n", item.name.c_str(),
-                  static_cast<unsigned long>(item.number),
-                  static_cast<unsigned long>(*in_force));
-    }
+  for (const auto& line : decision::DiffTicket(*in_force, *ticket)) {
+    std::puts(line.c_str());
   }
   return kSuccess;
 }
--- a/services/agaterund/main.cc
+++ b/services/agaterund/main.cc
@@ -2,6 +2,7 @@
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
+#include <atomic>
 #include <csignal>
 #include <cstdio>
 #include <fstream>
@@ -100,6 +101,18 @@
   return signals;
 }
 
+// Returns once the node has stopped, on a signal or by the host list.
+void WaitForStop(driver::NodeDriver& driver,
+                 const sigset_t& stop_signals,
+                 const std::atomic<bool>& stopped) {
+  constexpr timespec kPoll{.tv_sec = 0, .tv_nsec = 100'000'000};
+  while (!stopped) {
+    if (sigtimedwait(&stop_signals, nullptr, &kPoll) > 0) {
+      driver.Stop();
+    }
+  }
+}
+
 int Serve(NodeSettings settings) {
   const auto stop_signals = BlockStopSignals();
   const int thread_count = settings.threads;
@@ -107,7 +120,11 @@
   asio::io_context io(thread_count);
   const auto caller = settings.caller.ToString();
   const auto node = settings.node.ToString();
-  auto driver = driver::NodeDriver::Create(io, std::move(settings));
+  std::atomic<bool> stopped{false};
+  auto driver = driver::NodeDriver::Create(io, std::move(settings), [&] {
+    stopped = true;
+    io.stop();
+  });
   if (!driver) {
     const bool bad_settings =
         driver.error().kind == ErrorKind::kInvalidSettings;
@@ -121,9 +138,7 @@
   for (int index = 0; index < thread_count; ++index) {
     threads.emplace_back([&io] { io.run(); });
   }
-  int signal = 0;
-  sigwait(&stop_signals, &signal);
-  (*driver)->Stop([&] { io.stop(); });
+  WaitForStop(**driver, stop_signals, stopped);
   for (auto& thread : threads) {
     thread.join();
   }
--- a/tests/driver/test_region.cc
+++ b/tests/driver/test_region.cc
@@ -100,7 +100,10 @@
   auto backend = fakes::FakeBackendServer::Create(this->io, options);
   VERIFY(backend.has_value());
   host.backend = std::move(*backend);
-  auto node = NodeDriver::Create(this->io, host.settings);
+  host.stopped = std::make_shared<std::promise<void>>();
+  auto node =
+      NodeDriver::Create(this->io, host.settings,
+                         [stopped = host.stopped] { stopped->set_value(); });
   VERIFY(node.has_value());
   host.node = std::move(*node);
   this->clients.push_back(std::make_unique<client::CallerClient>(
@@ -143,9 +146,13 @@
 }
 
 void TestRegion::StopNode(std::size_t host) {
-  std::promise<void> done;
-  this->hosts[host].node->Stop([&] { done.set_value(); });
-  done.get_future().wait();
+  this->hosts[host].node->Stop();
+  this->hosts[host].stopped->get_future().wait();
+}
+
+bool TestRegion::WaitUntilStopped(std::size_t host) {
+  return this->hosts[host].stopped->get_future().wait_for(60s) ==
+         std::future_status::ready;
 }
 
 }  // namespace agaterun::driver
--- a/tests/driver/test_region.h
+++ b/tests/driver/test_region.h
@@ -33,6 +33,7 @@
   NodeSettings settings;
   std::unique_ptr<fakes::FakeBackendServer> backend;
   std::unique_ptr<NodeDriver> node;
+  std::shared_ptr<std::promise<void>> stopped;
 };
 
 // A few nodes with their backend servers and a platform in one process, on
@@ -55,6 +56,9 @@
   // Asks a node for a planned stop and waits for it.
   void StopNode(std::size_t host);
 
+  // Waits until a node has stopped. False when it doesn't within a minute.
+  bool WaitUntilStopped(std::size_t host);
+
   // Text of a ticket with all services and the region's routes.
   std::string Ticket(std::uint64_t number) const;
 
--- a/tests/driver/whole_path_test.cc
+++ b/tests/driver/whole_path_test.cc
@@ -115,6 +115,31 @@
   BOOST_TEST(result.response.status == 200);
 }
 
+BOOST_AUTO_TEST_CASE(AHostThatTheListNamesAsLeavingStopsByItself) {
+  TestRegion region(ThreeDeep(), kRoutes);
+  BOOST_REQUIRE(region.WaitUntilServing());
+  const auto entry = [&](std::size_t host, bool leaving) {
+    const auto& settings = region.Host(host).settings;
+    return nlohmann::json{{"name", settings.host},
+                          {"node", settings.node.ToString()},
+                          {"leaving", leaving}};
+  };
+  const auto list = [&](bool leaving) {
+    region.Platform().PublishHosts(
+        nlohmann::json{{"hosts", {entry(0, false), entry(1, leaving)}}}.dump());
+  };
+  // The list has to name it as staying first: a list that lags may still speak
+  // of an earlier process at the address.
+  list(false);
+  const auto reads = region.Platform().Reads();
+  while (region.Platform().Reads() < reads + 10) {
+    std::this_thread::sleep_for(20ms);
+  }
+  list(true);
+  BOOST_TEST(region.WaitUntilStopped(1));
+  BOOST_TEST(region.Host(1).node->Health() == "leaving");
+}
+
 BOOST_AUTO_TEST_CASE(ALaterTicketComesIntoForceWhileRequestsRun) {
   TestRegion region(ThreeDeep(), kRoutes);
   BOOST_REQUIRE(region.WaitUntilServing());
