Decision: Fade threshold counts over half a second

At 25 starts a second a quarter of a second holds six arrivals, and the level cut by them was too deep as often as too high.

--- a/libraries/decision/admission_threshold_controller.cc
+++ b/libraries/decision/admission_threshold_controller.cc
@@ -9,8 +9,8 @@
 constexpr Duration kWindow = 50ms;
 
 // Share of the counts that one window hands to the next. About 100 calls a
-// second give 5 in a window; fading over windows makes 25 of them.
-constexpr double kFading = 0.8;
+// second give 5 in a window; fading over windows makes 50 of them.
+constexpr double kFading = 0.9;
 
 // Admitted beyond what was started, so that slots never lack work.
 constexpr double kHeadroom = 1.05;
@@ -21,7 +21,7 @@
 
 // Below this share it rises a step at a time. From it on the slots are as good
 // as full, and calm only shows that the level does its work.
-constexpr double kSpareShare = 0.9;
+constexpr double kSpareShare = 0.95;
 
 // Windows between such steps: what a step lets in is seen here only after the
 // entries heard of it and sent it through their whole path.
