--- a/libraries/decision/concurrency_limit.cc
+++ b/libraries/decision/concurrency_limit.cc
@@ -66,6 +66,9 @@
 // Own times of a new limit show after the requests of the old one are gone.
 constexpr int kSettlingTimes = 2;
 
+// Own times of a trigger that is over must not hold up the way back.
+constexpr Duration kLongestSettling = 1s;
+
 }  // namespace
 
 ConcurrencyLimit::ConcurrencyLimit(Options options)
@@ -174,26 +177,28 @@
   }
 }
 
+void ConcurrencyLimit::Settle(Instant now, double own_seconds) {
+  const auto settling = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(kSettlingTimes * own_seconds));
+  this->settled_at = now + std::min(settling, kLongestSettling);
+}
+
 void ConcurrencyLimit::EnterHold(Instant now) {
-  const double mean =
-      std::max(this->base_sample.Mean(), this->probe_sample.Mean());
+  // The probe saw the later own times.
+  this->Settle(now, this->probe_sample.Count() > 0 ? this->probe_sample.Mean()
+                                                   : this->base_sample.Mean());
   this->phase = Phase::kHold;
   this->limit = this->base;
   this->base_sample = {};
   this->probe_sample = {};
   this->aborted = 0;
-  this->settled_at =
-      now + std::chrono::duration_cast<Duration>(
-                std::chrono::duration<double>(kSettlingTimes * mean));
 }
 
 void ConcurrencyLimit::EnterProbe(Instant now, Phase phase) {
+  this->Settle(now, this->base_sample.Mean());
   this->phase = phase;
   this->limit = phase == Phase::kAbove ? this->Above() : this->Below();
   this->probe_sample = {};
-  this->settled_at =
-      now + std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-                kSettlingTimes * this->base_sample.Mean()));
 }
 
 void ConcurrencyLimit::Rest(Instant now) {
@@ -239,21 +244,27 @@
     this->aborted = 0;
     return;
   }
-  // Below the published slots with normal own times, the way up is tried at
-  // once: a limit must rise as fast as it fell.
-  const bool too_low =
-      this->base < this->options.slots && this->IsNormal(this->base_sample);
+  // Below the published slots with normal own times, the limit goes up without
+  // a probe: it must rise as fast as it fell, and here nothing is at risk.
+  if (this->base<this->options.slots&& this->Unloaded()> 0 &&
+      this->base_sample.Mean() <= kNormal * this->Unloaded()) {
+    this->base = std::min(this->options.slots, this->Above());
+    this->rest = kShortestRest;
+    this->EnterHold(now);
+    return;
+  }
   // A verdict on a slow backend server says nothing once it is quick again.
   const bool changed = this->base_sample.Mean() < kQuickAgain * this->rest_mean;
   if (changed) {
     this->rest = kShortestRest;
     this->rest_mean = 0;
     this->rest_until = now;
+    this->base = std::max(this->base, this->options.slots);
     // This sample still mixes slow requests with quick ones.
     this->EnterHold(now);
     return;
   }
-  if (now < this->rest_until && !too_low) {
+  if (now < this->rest_until) {
     return;
   }
   if (this->MayBeTooHigh(this->base_sample) && this->Below() < this->base) {
@@ -315,6 +326,7 @@
   switch (this->Compare(this->probe_sample, this->base_sample)) {
     case Verdict::kSteep:
       this->base = this->limit;
+      this->rest_mean = this->probe_sample.Mean();
       this->rest = kShortestRest;
       this->EnterHold(now);
       return;
--- a/libraries/decision/concurrency_limit.h
+++ b/libraries/decision/concurrency_limit.h
@@ -51,6 +51,8 @@
   // Mean own time without load in seconds, or 0 while it is not known.
   double Unloaded() const;
   void OnUnsaturated(Instant now);
+  // Waits until own times of a new limit show.
+  void Settle(Instant now, double own_seconds);
   void EnterHold(Instant now);
   void EnterProbe(Instant now, Phase phase);
   void EndHold(Instant now);
@@ -70,7 +72,7 @@
   Instant settled_at{};  // Samples count from here on.
   Instant rest_until{};
   Duration rest;
-  double rest_mean = 0;  // Own time in seconds when the rest began.
+  double rest_mean = 0;  // Own time in seconds at the last verdict.
   OwnTimeSample base_sample;
   OwnTimeSample probe_sample;
   int aborted = 0;  // Of the base sample, cut off at their deadline.
