--- a/libraries/decision/platform_schedule.cc
+++ b/libraries/decision/platform_schedule.cc
@@ -49,15 +49,14 @@
   }
   const bool is_reader =
       role == ReaderRole::kPoller || role == ReaderRole::kWatcher;
-  const auto age =
-      confirmed ? std::optional<Duration>(now - *confirmed) : std::nullopt;
-  if (is_reader ||
-      (role == ReaderRole::kStandby && (!age || *age > kStandbyAge))) {
+  // Never confirmed counts as older than anything.
+  const Duration age = confirmed ? now - *confirmed : Duration::max();
+  if (is_reader || (role == ReaderRole::kStandby && age > kStandbyAge)) {
     this->lonely_read.reset();
     this->due = this->not_before;
     return;
   }
-  if (role != ReaderRole::kNone || (age && *age <= kLonelyAge)) {
+  if (role != ReaderRole::kNone || age <= kLonelyAge) {
     this->lonely_read.reset();
     return;
   }
--- a/libraries/load/load_generator.cc
+++ b/libraries/load/load_generator.cc
@@ -10,6 +10,16 @@
 constexpr int kSuccessStatus = 200;
 constexpr std::string_view kRequestIdHeader = "X-Request-Id";
 
+// `text` with every {id} replaced, as real requests name different things.
+std::string WithId(std::string text, const std::string& id) {
+  constexpr std::string_view kPlaceholder = "{id}";
+  for (auto at = text.find(kPlaceholder); at != std::string::npos;
+       at = text.find(kPlaceholder, at + id.size())) {
+    text.replace(at, kPlaceholder.size(), id);
+  }
+  return text;
+}
+
 Ending EndingOf(const client::CallerResult& result,
                 const std::string& request_id,
                 Duration timeout) {
@@ -96,9 +106,9 @@
                           std::to_string(this->next_request++);
   client::CallerRequest request{
       .request = {.method = kind.method,
-                  .target = kind.target,
+                  .target = WithId(kind.target, request_id),
                   .headers = {{std::string(kRequestIdHeader), request_id}},
-                  .body = kind.body},
+                  .body = WithId(kind.body, request_id)},
       .idempotent = kind.idempotent,
       .timeout = kind.timeout,
       .try_timeout = this->options.try_timeout,
@@ -111,11 +121,15 @@
       [this, kind_index, request_id, sent_at,
        timeout = kind.timeout](const client::CallerResult& result) {
         --this->in_flight;
-        this->report.Add({.kind = kind_index,
-                          .ending = EndingOf(result, request_id, timeout),
-                          .sent_at = sent_at,
-                          .latency = result.latency,
-                          .sends = result.sends});
+        const LoadSample sample{.kind = kind_index,
+                                .ending = EndingOf(result, request_id, timeout),
+                                .sent_at = sent_at,
+                                .latency = result.latency,
+                                .sends = result.sends};
+        this->report.Add(sample);
+        if (this->options.on_end) {
+          this->options.on_end(request_id, sample);
+        }
       });
 }
 
--- a/libraries/load/load_generator.h
+++ b/libraries/load/load_generator.h
@@ -39,6 +39,9 @@
     std::size_t connections = 512;
     std::uint64_t seed = 1;
     std::size_t most_in_flight = 50'000;  // Further ones are dropped, counted.
+    // Called with the id that the request carried and how it ended.
+    std::function<void(const std::string& id, const LoadSample& sample)>
+        on_end = {};
   };
 
   LoadGenerator(asio::io_context& io, Options options, RequestMix mix);
--- a/libraries/load/request_mix.h
+++ b/libraries/load/request_mix.h
@@ -14,8 +14,8 @@
 struct RequestKind {
   std::string name;
   std::string method = "GET";
-  std::string target;  // /SERVICE/PATH
-  std::string body;
+  std::string target;  // /SERVICE/PATH; {id} stands for the request's id.
+  std::string body;    // {id} as in `target`.
   std::string importance = "normal";  // Only groups rows of the report.
   bool idempotent = false;
   double weight = 1;
--- a/meta/region.py
+++ b/meta/region.py
@@ -114,13 +114,15 @@
     """One region of a deployment, in processes of its own."""
 
     def __init__(self, deployment="lectern", build="release", control="full",
-                 domains=("a", "b", "c"), log_level="warning", threads=2):
+                 domains=("a", "b", "c"), log_level="warning", threads=2,
+                 distribution="exponential"):
         self.region, self.services = DEPLOYMENTS[deployment]
         self.build = ROOT / "build" / build
         self.control = control
         self.domains = domains
         self.log_level = log_level
         self.threads = threads
+        self.distribution = distribution
         self.base = 10 + os.getpid() % 200
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="agaterun-"))
         self.platform = None
@@ -191,7 +193,8 @@
                      "--service", host.service.name,
                      "--slots", host.service.slots,
                      "--connections", host.service.connections,
-                     "--service-ms", host.service.service_ms]
+                     "--service-ms", host.service.service_ms,
+                     "--distribution", self.distribution]
         if host.service.nested:
             arguments += ["--nested", host.service.nested,
                           "--nested-address", f"{host.ip}:{NESTED_PORT}"]
@@ -324,21 +327,21 @@
     "lectern": """\
 [request open-draft]
 method = GET
-target = /drafts/drafts/7
+target = /drafts/drafts/{id}
 importance = normal
 idempotent = yes
 weight = 45
 timeout_ms = 2000
 [request fetch-audio]
 method = GET
-target = /vault/audio/3
+target = /vault/audio/{id}
 importance = normal
 idempotent = yes
 weight = 25
 timeout_ms = 2000
 [request pull-archive]
 method = GET
-target = /vault/archive/9
+target = /vault/archive/{id}
 importance = background
 idempotent = yes
 weight = 20
@@ -346,7 +349,7 @@
 [request send-packet]
 method = POST
 target = /dispatch/packets
-body = packet
+body = packet {id}
 importance = critical
 idempotent = no
 weight = 5
@@ -354,7 +357,7 @@
 [request invoice]
 method = POST
 target = /ledger/invoices
-body = invoice
+body = invoice {id}
 importance = critical
 idempotent = no
 weight = 5
@@ -363,7 +366,7 @@
     "sodcek": """\
 [request look-up-balance]
 method = GET
-target = /balance/balances/12
+target = /balance/balances/{id}
 importance = normal
 idempotent = yes
 weight = 50
@@ -371,14 +374,14 @@
 [request redeem]
 method = POST
 target = /redemption/redemptions
-body = token
+body = token {id}
 importance = critical
 idempotent = no
 weight = 20
 timeout_ms = 2000
 [request download-pour-list]
 method = GET
-target = /pour-list/lists/1
+target = /pour-list/lists/{id}
 importance = background
 idempotent = yes
 weight = 20
@@ -386,7 +389,7 @@
 [request settle-refund]
 method = POST
 target = /refund/refunds
-body = refund
+body = refund {id}
 importance = critical
 idempotent = no
 weight = 10
--- a/services/agaterun/load_command.cc
+++ b/services/agaterun/load_command.cc
@@ -28,6 +28,7 @@
   int seed = 1;
   double warm_up = 1;
   char* csv = nullptr;
+  char* endings = nullptr;
 };
 
 Duration Seconds(double seconds) {
@@ -121,10 +122,20 @@
 
 int Run(const LoadOptions& load,
         std::vector<NodeAddress> nodes,
-        load::RequestMix mix) {
+        const load::RequestMix& mix) {
   asio::io_context io(1);
-  load::LoadGenerator generator(io, MakeOptions(load, std::move(nodes)),
-                                std::move(mix));
+  auto options = MakeOptions(load, std::move(nodes));
+  std::ofstream endings;
+  if (load.endings != nullptr) {
+    endings.open(load.endings);
+    endings << "id,request,ending\n";
+    options.on_end = [&endings, &mix](const std::string& id,
+                                      const load::LoadSample& sample) {
+      endings << id << "," << mix.Kinds()[sample.kind].name << ","
+              << NameOf(load::kEndingNames, sample.ending) << "\n";
+    };
+  }
+  load::LoadGenerator generator(io, std::move(options), mix);
   const bool is_terminal = isatty(STDERR_FILENO) != 0;
   generator.Start([&](int second) {
     if (is_terminal) {
@@ -186,6 +197,8 @@
        "chooses arrivals, kinds and nodes (default 1)", "N"},
       {"csv", 0, POPT_ARG_STRING, &load.csv, 0,
        "write endings per kind and tenth of a second", "FILE"},
+      {"endings", 0, POPT_ARG_STRING, &load.endings, 0,
+       "write id, kind and ending of every request", "FILE"},
       POPT_AUTOHELP POPT_TABLEEND};
   const PoptContext context(
       poptGetContext("agaterun load", argc, argv, options, 0),
@@ -212,7 +225,7 @@
     std::fprintf(stderr, "%s: %s\n", load.mix, mix.error().message.c_str());
     return kBadInput;
   }
-  return Run(load, *nodes, std::move(*mix));
+  return Run(load, *nodes, *mix);
 }
 
 }  // namespace agaterun
--- a/tests/fakes/backend_server/fake_visit.cc
+++ b/tests/fakes/backend_server/fake_visit.cc
@@ -117,6 +117,8 @@
   const std::string id =
       this->RequestId() + "." + std::to_string(this->nested_done + 1);
   nested.headers.push_back({std::string(kRequestId), id});
+  // What it asks for differs too, as with real keys.
+  nested.target += "?for=" + id;
   nested.headers.push_back({"Idempotency-Key", id});
   if (const auto left = this->TimeLeft(); left) {
     const auto milliseconds =
