--- a/libraries/base/node_address.h
+++ b/libraries/base/node_address.h
@@ -17,6 +17,9 @@
   std::uint32_t ip = 0;  // Host byte order.
   std::uint16_t port = 0;
 
+  // clang-tidy 14 takes the comparison that the compiler writes for a 0.
+
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const NodeAddress&) const = default;
 
   // Parses "127.0.0.1:7400". Fails with ErrorKind::kInvalidArgument.
--- a/libraries/decision/messages.h
+++ b/libraries/decision/messages.h
@@ -22,6 +22,9 @@
   Importance cutoff = Importance::kBackground;
   std::uint16_t keys = 256;
 
+  // clang-tidy 14 takes the comparison that the compiler writes for a 0.
+
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const AdmissionThreshold&) const = default;
 
   template <class Archive>
--- a/libraries/decision/request_types.h
+++ b/libraries/decision/request_types.h
@@ -100,6 +100,9 @@
   CallId call = 0;
   std::uint32_t number = 0;
 
+  // clang-tidy 14 takes the comparison that the compiler writes for a 0.
+
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const AttemptId&) const = default;
 
   template <class Archive>
@@ -114,6 +117,9 @@
   std::uint64_t high = 0;
   std::uint64_t low = 0;
 
+  // clang-tidy 14 takes the comparison that the compiler writes for a 0.
+
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const VisitId&) const = default;
 };
 
@@ -123,6 +129,9 @@
   std::uint64_t incarnation = 0;
   std::uint64_t sequence = 0;
 
+  // clang-tidy 14 takes the comparison that the compiler writes for a 0.
+
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const Binding&) const = default;
 
   template <class Archive>
