--- a/tests/decision/origin_test.cc
+++ b/tests/decision/origin_test.cc
@@ -40,7 +40,7 @@
   Reason told_reason;
 };
 
-const FailureCase kFailureCases[] = {
+const FailureCase failure_cases[] = {
     {"overloaded",
      true,
      false,
@@ -191,7 +191,7 @@
 };
 
 BOOST_AUTO_TEST_CASE(FollowsTheTableAfterAFailedAttempt) {
-  for (const auto& row : kFailureCases) {
+  for (const auto& row : failure_cases) {
     BOOST_TEST_CONTEXT(row.name) {
       OriginFixture fixture;
       auto event = fixture.MakeCall(1, row.idempotent);
