Driver: Carry out actions and show operators in files of their own

Cause: node_driver.cc had 545 lines and three jobs. Control bytes were a metric that nothing recorded. Result: driver_test and operator_test pass.

--- a/libraries/base/node_address.h
+++ b/libraries/base/node_address.h
@@ -18,7 +18,6 @@
   std::uint16_t port = 0;
 
   // clang-tidy 14 takes the comparison that the compiler writes for a 0.
-
   // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const NodeAddress&) const = default;
 
--- a/libraries/decision/messages.h
+++ b/libraries/decision/messages.h
@@ -23,7 +23,6 @@
   std::uint16_t keys = 256;
 
   // clang-tidy 14 takes the comparison that the compiler writes for a 0.
-
   // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const AdmissionThreshold&) const = default;
 
--- a/libraries/decision/request_types.h
+++ b/libraries/decision/request_types.h
@@ -101,7 +101,6 @@
   std::uint32_t number = 0;
 
   // clang-tidy 14 takes the comparison that the compiler writes for a 0.
-
   // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const AttemptId&) const = default;
 
@@ -118,7 +117,6 @@
   std::uint64_t low = 0;
 
   // clang-tidy 14 takes the comparison that the compiler writes for a 0.
-
   // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const VisitId&) const = default;
 };
@@ -130,7 +128,6 @@
   std::uint64_t sequence = 0;
 
   // clang-tidy 14 takes the comparison that the compiler writes for a 0.
-
   // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const Binding&) const = default;
 
--- a/libraries/driver/node_driver.cc
+++ b/libraries/driver/node_driver.cc
@@ -2,12 +2,10 @@
 
 #include <asio/dispatch.hpp>
 #include <asio/post.hpp>
-#include <future>
 #include <utility>
 
 #include "libraries/base/log.h"
 #include "libraries/caller/request_headers.h"
-#include "libraries/driver/state_dump.h"
 
 namespace agaterun::driver {
 
@@ -17,13 +15,6 @@
 using decision::Outcome;
 using decision::Reason;
 
-// An operator's read waits at most this long for the decision strand.
-constexpr Duration kAdminReadTimeout = 2s;
-
-// The answers of a drained node have this long to reach their readers.
-constexpr Duration kFlushTime = 2s;
-constexpr Duration kFlushPoll = 20ms;
-
 Result<decision::MechanismSet> ReadMechanisms(
     const std::vector<std::string>& names) {
   decision::MechanismSet mechanisms;
@@ -182,8 +173,6 @@
   this->handling = false;
 }
 
-// --- Callers. ---
-
 caller::CallerServer* NodeDriver::ServerOf(bool nested) {
   return nested ? this->nested_callers.get() : this->callers.get();
 }
@@ -244,65 +233,6 @@
       [this, call] { this->Handle(decision::CallerGone{.call = call}); });
 }
 
-void NodeDriver::Perform(const AnswerCaller& action) {
-  const auto found = this->requests.calls.find(action.call);
-  if (found == this->requests.calls.end()) {
-    return;
-  }
-  const auto stored = std::move(found->second);
-  this->requests.calls.erase(found);
-  this->metrics.RecordCall(stored.importance, action.outcome, action.reason,
-                           this->clock.Now() - stored.arrived);
-  this->ServerOf(stored.nested)
-      ->Answer(action.call, caller::WriteAnswer(action));
-}
-
-// --- Other nodes. ---
-
-void NodeDriver::Perform(const decision::SendAttempt& action) {
-  const auto& attempt = action.request.attempt;
-  const auto found = this->requests.calls.find(attempt.call);
-  static const HttpRequest empty_request;
-  const bool runs = action.request.kind == decision::VisitKind::kRun;
-  if (runs && found == this->requests.calls.end()) {
-    this->own_events.emplace_back(
-        decision::AttemptLost{.attempt = attempt, .sent = false});
-    return;
-  }
-  if (action.to != this->settings.node) {
-    this->links->SendVisit(action.to, action.request,
-                           runs ? *found->second.request : empty_request);
-    return;
-  }
-  // This node's own backend server: no network between origin and gate.
-  if (runs) {
-    this->requests.visits[attempt].request = found->second.request;
-  }
-  this->own_events.emplace_back(
-      decision::VisitArrived{.from = action.to, .request = action.request});
-}
-
-void NodeDriver::Perform(const decision::CancelAttempt& action) {
-  if (action.to == this->settings.node) {
-    this->own_events.emplace_back(
-        decision::VisitCancelled{.attempt = action.attempt});
-    return;
-  }
-  this->links->CancelVisit(action.to, action.attempt);
-}
-
-void NodeDriver::Perform(const decision::ReplyToOrigin& action) {
-  const auto& reply = action.reply;
-  this->requests.visits.erase(reply.attempt);
-  this->metrics.RecordVisit(reply.outcome, reply.reason);
-  if (reply.attempt.origin == this->settings.node) {
-    this->own_events.emplace_back(
-        decision::AttemptReplied{.reply = reply, .answer = action.answer});
-    return;
-  }
-  this->links->SendReply(action.to, reply, action.answer);
-}
-
 void NodeDriver::OnVisit(NodeAddress from,
                          decision::VisitRequest visit,
                          HttpRequest request) {
@@ -368,40 +298,6 @@
   });
 }
 
-void NodeDriver::Perform(const decision::SendHeartbeat& action) {
-  this->links->SendHeartbeat(action.to, action.heartbeat);
-}
-
-void NodeDriver::Perform(const decision::SendTicketItems& action) {
-  this->links->SendTicketItems(action.to, action.items);
-}
-
-void NodeDriver::Perform(const decision::RequestTicketItems& action) {
-  this->links->RequestTicketItems(action.to, action.have);
-}
-
-// --- The local backend server. ---
-
-void NodeDriver::Perform(const decision::StartBackend& action) {
-  const auto found = this->requests.visits.find(action.attempt);
-  if (found == this->requests.visits.end() || !this->backend) {
-    this->own_events.emplace_back(decision::BackendFailed{
-        .visit = action.visit, .failure = decision::BackendFailure::kNotSent});
-    return;
-  }
-  auto request = caller::ForBackendServer(*found->second.request, action.visit,
-                                          action.remaining);
-  this->requests.visits.erase(found);
-  this->requests.started.emplace(action.visit, this->clock.Now());
-  this->backend->Start(action.visit, std::move(request));
-}
-
-void NodeDriver::Perform(const decision::AbortBackend& action) {
-  if (this->backend) {
-    this->backend->Abort(action.visit);
-  }
-}
-
 void NodeDriver::OnBackendAnswered(decision::VisitId visit,
                                    HttpResponse response) {
   auto answer = std::make_shared<const HttpResponse>(std::move(response));
@@ -429,12 +325,6 @@
   });
 }
 
-// --- The platform. ---
-
-void NodeDriver::Perform(const decision::ReadPlatform& action) {
-  this->platform_reader->Read(action.after_number, action.watch);
-}
-
 void NodeDriver::OnTicketPublished(std::string text) {
   this->OnStrand([this, text = std::move(text)]() mutable {
     this->Handle(decision::TicketPublished{.text = std::move(text)});
@@ -455,91 +345,8 @@
   });
 }
 
-void NodeDriver::Perform(const decision::PublishState& action) {
-  this->published.Publish(action.state);
-  this->known_hosts.SetTickets(*action.state);
-  this->links->SetStateDigest(action.state->digest);
-}
-
-// --- Time, logs, the end. ---
-
-void NodeDriver::Perform(const decision::WakeAt& action) {
-  this->wake_timer.expires_at(
-      std::chrono::steady_clock::time_point(action.instant));
-  this->wake_timer.async_wait([this](const std::error_code& error) {
-    if (!error) {
-      this->Handle(decision::Tick{});
-    }
-  });
-}
-
-void NodeDriver::Perform(const decision::Report& action) {
-  Log(action.event, {{"subject", action.subject}, {"detail", action.detail}});
-}
-
-void NodeDriver::Perform(const decision::Drained& /*action*/) {
-  this->links->Close();
-  this->FinishStop(this->clock.Now() + kFlushTime);
-}
-
 // Answers and replies that are written but not yet read keep the connections
-// open; a reader that takes nothing doesn't hold the process for ever.
-void NodeDriver::FinishStop(Instant latest) {
-  const bool all_closed = this->links->ConnectionCount() == 0 &&
-                          this->callers->ConnectionCount() == 0;
-  if (!all_closed && this->clock.Now() < latest) {
-    this->wake_timer.expires_after(kFlushPoll);
-    this->wake_timer.async_wait([this, latest](const std::error_code& error) {
-      if (!error) {
-        this->FinishStop(latest);
-      }
-    });
-    return;
-  }
-  Log(LogEvent::kStopped);
-  if (this->on_stopped) {
-    this->on_stopped();
-  }
-}
 
-// --- Operators. ---
-
-std::string NodeDriver::ReadOnStrand(std::function<std::string()> read) {
-  auto task =
-      std::make_shared<std::packaged_task<std::string()>>(std::move(read));
-  auto text = task->get_future();
-  asio::post(this->strand, [task] { (*task)(); });
-  if (text.wait_for(kAdminReadTimeout) != std::future_status::ready) {
-    return R"({"error":"the node is busy or stopping; ask again"})";
-  }
-  return text.get();
-}
-
-std::string NodeDriver::Health() {
-  if (this->leaving) {
-    return "leaving";
-  }
-  return this->ready ? "serving" : "waiting-for-state";
-}
-
-std::string NodeDriver::StateDump() {
-  return this->ReadOnStrand([this] {
-    return DumpState(
-        this->settings, this->incarnation, this->decisions,
-        {.callers = this->callers->ConnectionCount(),
-         .peers = this->links->ConnectionCount(),
-         .backend = this->backend ? this->backend->ConnectionCount() : 0,
-         .platform_calls = this->platform_reader->CallCount()},
-        this->clock.Now());
-  });
-}
-
-std::string NodeDriver::TicketsInForce() {
-  return DumpTickets(*this->published.Read());
-}
-
-std::string NodeDriver::Metrics() {
-  return this->metrics.ToText();
-}
+// open; a reader that takes nothing doesn't hold the process for ever.
 
 }  // namespace agaterun::driver
--- a/libraries/operator/metrics.cc
+++ b/libraries/operator/metrics.cc
@@ -72,8 +72,6 @@
       calls{};
   std::array<std::array<Counter, kReasonNames.size()>, kOutcomeNames.size()>
       visits{};
-  Counter control_bytes_sent{0};
-  Counter control_bytes_received{0};
   LatencyHistogram call_latency = MakeLatencyHistogram();
   LatencyHistogram service_time = MakeLatencyHistogram();
   Counter call_latency_microseconds{0};
@@ -110,11 +108,6 @@
           .count();
 }
 
-void Metrics::RecordControlBytes(std::size_t sent, std::size_t received) {
-  this->implementation->control_bytes_sent += sent;
-  this->implementation->control_bytes_received += received;
-}
-
 std::string Metrics::ToText() const {
   const auto& self = *this->implementation;
   std::ostringstream out;
@@ -150,11 +143,6 @@
           << "\",reason=\"" << reason_name << "\"} " << count << "\n";
     }
   }
-  out << "# TYPE agaterun_control_bytes_total counter\n"
-      << "agaterun_control_bytes_total{direction=\"sent\"} "
-      << self.control_bytes_sent.load() << "\n"
-      << "agaterun_control_bytes_total{direction=\"received\"} "
-      << self.control_bytes_received.load() << "\n";
   out << "# TYPE agaterun_call_milliseconds histogram\n";
   WriteHistogram(out, "agaterun_call_milliseconds", "", self.call_latency,
                  static_cast<double>(self.call_latency_microseconds.load()) /
--- a/libraries/operator/metrics.h
+++ b/libraries/operator/metrics.h
@@ -28,9 +28,6 @@
   // The backend server gave a whole answer after this time.
   void RecordServiceTime(Duration service_time);
 
-  // Bytes of control traffic: heartbeats and ticket items.
-  void RecordControlBytes(std::size_t sent, std::size_t received);
-
   // Prometheus text format, version 0.0.4.
   std::string ToText() const;
 
