Driver: Wait for the end of a stop on a timer of its own

Cause: 1 of 50 and 5 of 200 nodes did not end after SIGTERM. A stack of one showed it serving on, never told that it had stopped: the wait for connections to close shared its timer with the decisions' wake-ups, each of which cancelled it. Ruled out: a request in flight; there were none, and a blocked thread; none was. Change: a timer of its own.

--- a/libraries/driver/node_driver.cc
+++ b/libraries/driver/node_driver.cc
@@ -54,6 +54,7 @@
                  .disabled = disabled},
                 this->random),
       wake_timer(this->strand),
+      stop_timer(this->strand),
       on_stopped(std::move(on_stopped)) {}
 
 NodeDriver::~NodeDriver() = default;
--- a/libraries/driver/node_driver.h
+++ b/libraries/driver/node_driver.h
@@ -146,6 +146,7 @@
   KnownHosts known_hosts;
   operator_interface::Metrics metrics;
   asio::steady_timer wake_timer;
+  asio::steady_timer stop_timer;
   std::atomic<decision::CallId> call_ids{1};
   std::atomic<bool> ready{false};
   std::atomic<bool> leaving{false};
--- a/libraries/driver/node_driver_actions.cc
+++ b/libraries/driver/node_driver_actions.cc
@@ -140,8 +140,10 @@
   const bool all_closed = this->links->ConnectionCount() == 0 &&
                           this->callers->ConnectionCount() == 0;
   if (!all_closed && this->clock.Now() < latest) {
-    this->wake_timer.expires_after(kFlushPoll);
-    this->wake_timer.async_wait([this, latest](const std::error_code& error) {
+    // Not the timer of WakeAt: the decisions go on asking for wake-ups, and
+    // each would cancel this wait.
+    this->stop_timer.expires_after(kFlushPoll);
+    this->stop_timer.async_wait([this, latest](const std::error_code& error) {
       if (!error) {
         this->FinishStop(latest);
       }
--- a/meta/measure_fleet.py
+++ b/meta/measure_fleet.py
@@ -123,8 +123,8 @@
               flush=True)
     finally:
         codes = fleet.stop()
-        unclean = [name for name, code in codes.items() if code != 0]
-        print(f"stopped, {len(unclean)} not gracefully", flush=True)
+        unclean = {name: code for name, code in codes.items() if code != 0}
+        print(f"stopped, not gracefully: {unclean or 'none'}", flush=True)
         fleet.remove_files()
 
 
