--- /dev/null
+++ b/libraries/admission/slot_queue.cc
@@ -0,0 +1,125 @@
+#include "libraries/admission/slot_queue.h"
+
+#include <algorithm>
+
+namespace agaterun::admission {
+
+namespace {
+
+// Weight of the latest request in the mean time of all.
+constexpr double kServiceTimeWeight = 0.05;
+
+}  // namespace
+
+void SlotQueue::SetLimit(int limit) {
+  this->limit = std::max(1, limit);
+}
+
+bool SlotQueue::MayStart(int rank) const {
+  return this->running < this->limit &&
+         (this->queue.empty() || this->queue.begin()->first.rank > rank);
+}
+
+void SlotQueue::Ended(Duration elapsed) {
+  this->Released();
+  if (this->service_time == Duration{}) {
+    this->service_time = elapsed;
+    return;
+  }
+  this->service_time += std::chrono::duration_cast<Duration>(
+      (elapsed - this->service_time) * kServiceTimeWeight);
+}
+
+void SlotQueue::Released() {
+  this->running = std::max(0, this->running - 1);
+}
+
+Duration SlotQueue::ExpectedWait(int rank) const {
+  if (this->MayStart(rank)) {
+    return Duration{};
+  }
+  const auto end =
+      this->queue.upper_bound(Place{.rank = rank, .serial = ~std::uint64_t{0}});
+  const auto before = std::distance(this->queue.begin(), end);
+  const int over = std::max(0, this->running - this->limit);
+  // Slots free up one after the other, evenly over a request's time.
+  return this->service_time * (before + 1 + over) / this->limit;
+}
+
+void SlotQueue::Push(const Waiting& waiting) {
+  const Place place{.rank = waiting.rank, .serial = this->next_serial++};
+  this->queue.emplace(place, waiting);
+  this->positions.emplace(waiting.id, place);
+  this->expiries.emplace(waiting.latest_start, waiting.id);
+}
+
+std::map<SlotQueue::Place, SlotQueue::Waiting>::iterator SlotQueue::Erase(
+    std::map<Place, Waiting>::iterator entry) {
+  const auto& waiting = entry->second;
+  const auto [first, last] = this->expiries.equal_range(waiting.latest_start);
+  for (auto expiry = first; expiry != last; ++expiry) {
+    if (expiry->second == waiting.id) {
+      this->expiries.erase(expiry);
+      break;
+    }
+  }
+  this->positions.erase(waiting.id);
+  return this->queue.erase(entry);
+}
+
+std::optional<SlotQueue::Id> SlotQueue::Pop() {
+  if (this->queue.empty() || this->running >= this->limit) {
+    return std::nullopt;
+  }
+  const auto id = this->queue.begin()->second.id;
+  this->Erase(this->queue.begin());
+  return id;
+}
+
+std::vector<SlotQueue::Id> SlotQueue::TakeExpired(Instant now) {
+  std::vector<Id> expired;
+  while (!this->expiries.empty() && this->expiries.begin()->first <= now) {
+    const auto id = this->expiries.begin()->second;
+    expired.push_back(id);
+    this->Remove(id);
+  }
+  return expired;
+}
+
+std::vector<SlotQueue::Id> SlotQueue::TakeAll() {
+  std::vector<Id> all;
+  while (!this->queue.empty()) {
+    all.push_back(this->queue.begin()->second.id);
+    this->Erase(this->queue.begin());
+  }
+  return all;
+}
+
+std::optional<SlotQueue::Id> SlotQueue::TakeWorseThan(int rank) {
+  if (this->queue.empty()) {
+    return std::nullopt;
+  }
+  const auto last = std::prev(this->queue.end());
+  if (last->first.rank <= rank) {
+    return std::nullopt;
+  }
+  const auto id = last->second.id;
+  this->Erase(last);
+  return id;
+}
+
+void SlotQueue::Remove(Id id) {
+  const auto position = this->positions.find(id);
+  if (position != this->positions.end()) {
+    this->Erase(this->queue.find(position->second));
+  }
+}
+
+std::optional<Instant> SlotQueue::NextExpiry() const {
+  if (this->expiries.empty()) {
+    return std::nullopt;
+  }
+  return this->expiries.begin()->first;
+}
+
+}  // namespace agaterun::admission
--- a/libraries/base/ini_section_reader.cc
+++ b/libraries/base/ini_section_reader.cc
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <cmath>
 
+#include "libraries/base/duration_text.h"
+
 namespace agaterun {
 
 namespace {
@@ -81,6 +83,24 @@
   return value;
 }
 
+std::optional<Duration> IniSectionReader::Time(std::string_view key,
+                                               Duration least,
+                                               Duration most) {
+  const auto* entry = this->Take(key);
+  if (entry == nullptr) {
+    return std::nullopt;
+  }
+  const auto value = ParseDurationText(entry->value);
+  if (!value || *value < least || *value > most) {
+    this->Fail(key, Quoted(entry->value) +
+                        " is not allowed; write a time from " +
+                        ToText(ToMilliseconds(least)) + "ms to " +
+                        ToText(ToMilliseconds(most)) + "ms, such as 250ms");
+    return std::nullopt;
+  }
+  return value;
+}
+
 std::optional<bool> IniSectionReader::YesOrNo(std::string_view key) {
   const auto choice = this->OneOf(key, {"no", "yes"});
   return choice ? std::optional(*choice == 1) : std::nullopt;
--- a/libraries/base/ini_section_reader.h
+++ b/libraries/base/ini_section_reader.h
@@ -9,6 +9,7 @@
 
 #include "libraries/base/ini_document.h"
 #include "libraries/base/node_address.h"
+#include "libraries/base/time.h"
 
 namespace agaterun {
 
@@ -28,6 +29,10 @@
                                       std::int64_t most);
   // A number in [least, most].
   std::optional<double> Number(std::string_view key, double least, double most);
+  // A time in [least, most], such as "250ms" or "2.5s".
+  std::optional<Duration> Time(std::string_view key,
+                               Duration least,
+                               Duration most);
   // "yes" or "no".
   std::optional<bool> YesOrNo(std::string_view key);
   // "IP:PORT".
--- a/libraries/base/settings.cc
+++ b/libraries/base/settings.cc
@@ -16,10 +16,11 @@
 constexpr int kMostBodyKilobytes = 64 * 1024;
 constexpr std::size_t kBytesPerKilobyte = 1024;
 constexpr std::size_t kMostSeeds = 16;
+constexpr double kMostExtraRepeats = 1e6;
 
 std::vector<std::string> SectionNames() {
-  return {"node",     "caller",   "backend_server",
-          "platform", "operator", "experiment"};
+  return {"node",       "caller",    "backend_server", "platform", "operator",
+          "experiment", "readiness", "repeats",        "stop"};
 }
 
 // Stands for a section that the text lacks, so that its required keys are
@@ -36,15 +37,21 @@
       : document(document), faults(faults) {}
 
   NodeSettings Read() {
+    this->ReadPlatform();
     this->ReadNode();
     this->ReadCaller();
     if (this->document.Find("backend_server") != nullptr) {
       this->ReadBackendServer();
     }
-    this->settings.platform =
-        this->ReadAddressOnly("platform", "127.0.0.1:8300");
-    this->settings.operator_address =
-        this->ReadAddressOnly("operator", "127.0.1.1:8200");
+    if (this->settings.platform_interface == PlatformInterface::kStore) {
+      this->settings.readiness =
+          this->ReadAddressOnly("readiness", "127.0.1.1:8302");
+    } else {
+      this->settings.operator_address =
+          this->ReadAddressOnly("operator", "127.0.1.1:8200");
+    }
+    this->ReadRepeats();
+    this->ReadStop();
     this->ReadExperiment();
     this->CheckSections();
     this->CheckListeners();
@@ -127,12 +134,54 @@
     reader.Finish();
   }
 
+  void ReadPlatform() {
+    const IniSection empty{.name = "platform"};
+    IniSectionReader reader(SectionOrEmpty(this->document, empty),
+                            this->faults);
+    reader.Require("address", "127.0.0.1:8300");
+    this->settings.platform = reader.Address("address").value_or(NodeAddress{});
+    if (const auto kind = reader.OneOf("interface", {"tickets", "store"});
+        kind) {
+      this->settings.platform_interface = kPlatformInterfaceNames[*kind].value;
+    }
+    reader.Finish();
+  }
+
+  void ReadRepeats() {
+    const auto* section = this->document.Find("repeats");
+    if (section == nullptr) {
+      return;
+    }
+    IniSectionReader reader(*section, this->faults);
+    auto& settings = this->settings;
+    settings.repeat_ratio =
+        reader.Number("ratio", 0, 1).value_or(settings.repeat_ratio);
+    settings.repeat_extra = reader.Number("extra", 0, kMostExtraRepeats)
+                                .value_or(settings.repeat_extra);
+    settings.repeat_window =
+        reader.Time("window", 100ms, 3600s).value_or(settings.repeat_window);
+    reader.Finish();
+  }
+
+  void ReadStop() {
+    const auto* section = this->document.Find("stop");
+    if (section == nullptr) {
+      return;
+    }
+    IniSectionReader reader(*section, this->faults);
+    this->settings.stop_grace =
+        reader.Time("grace", 100ms, 3600s).value_or(this->settings.stop_grace);
+    reader.Finish();
+  }
+
   void ReadBackendServer() {
     IniSectionReader reader(*this->document.Find("backend_server"),
                             this->faults);
     reader.Require("service", "drafts");
     reader.Require("address", "127.0.1.1:9000");
-    reader.Require("nested_address", "127.0.1.1:8001");
+    if (this->settings.platform_interface == PlatformInterface::kTickets) {
+      reader.Require("nested_address", "127.0.1.1:8001");
+    }
     this->settings.service = reader.Text("service").value_or("");
     this->settings.backend_server = reader.Address("address");
     this->settings.nested = reader.Address("nested_address");
@@ -203,6 +252,7 @@
     check("backend_server", "nested_address", this->settings.nested);
     check("operator", "address", this->settings.operator_address);
     check("platform", "address", this->settings.platform);
+    check("readiness", "address", this->settings.readiness);
   }
 
   const IniDocument& document;
--- a/libraries/base/settings.h
+++ b/libraries/base/settings.h
@@ -1,6 +1,7 @@
 #ifndef LIBRARIES_BASE_SETTINGS_H_
 #define LIBRARIES_BASE_SETTINGS_H_
 
+#include <array>
 #include <cstddef>
 #include <optional>
 #include <string>
@@ -8,6 +9,7 @@
 #include <tl/expected.hpp>
 #include <vector>
 
+#include "libraries/base/enum_names.h"
 #include "libraries/base/ini_fault.h"
 #include "libraries/base/log_event.h"
 #include "libraries/base/node_address.h"
@@ -15,6 +17,17 @@
 
 namespace agaterun {
 
+// What the platform publishes.
+enum class PlatformInterface {
+  kTickets,  // Change tickets and a list of hosts.
+  kStore,    // One configuration and endpoints, in a key-value store.
+};
+
+inline constexpr std::array kPlatformInterfaceNames = {
+    EnumName<PlatformInterface>{PlatformInterface::kTickets, "tickets"},
+    EnumName<PlatformInterface>{PlatformInterface::kStore, "store"},
+};
+
 // Settings of one agaterund process, from its INI file.
 struct NodeSettings {
   // [node]
@@ -38,6 +51,19 @@
 
   // [platform]
   NodeAddress platform;  // `address`
+  PlatformInterface platform_interface = PlatformInterface::kTickets;
+
+  // [readiness], required with `interface = store`.
+  NodeAddress readiness;  // `address`
+
+  // [repeats], optional: what all nodes together may send again to a service
+  // within a window, per request and beyond.
+  double repeat_ratio = 0.1;
+  double repeat_extra = 0;
+  Duration repeat_window = 10s;
+
+  // [stop], optional.
+  Duration stop_grace = 6s;  // `grace`: from the signal until a kill.
 
   // [experiment], optional: `disabled`, names of decision::Mechanism, to
   // measure what each is worth.
--- a/libraries/caller/answer_writer.cc
+++ b/libraries/caller/answer_writer.cc
@@ -71,6 +71,9 @@
     ReasonRow{Reason::kMalformed, 400, "send a valid request"},
     ReasonRow{Reason::kLimitReached, 503,
               "this node is full; come back after Retry-After"},
+    ReasonRow{Reason::kBackendRejected, 503,
+              "the backend server took no more work; come back after "
+              "Retry-After"},
 };
 
 const ReasonRow& RowOf(Reason reason) {
--- /dev/null
+++ b/libraries/calls/call_origin.cc
@@ -0,0 +1,447 @@
+#include "libraries/calls/call_origin.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+#include <utility>
+
+namespace agaterun::calls {
+
+namespace {
+
+using decision::Answer;
+using decision::AttemptId;
+using decision::CallId;
+using decision::Importance;
+using decision::Outcome;
+using decision::Reason;
+using decision::VisitReply;
+using decision::VisitRequest;
+
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kServerErrors = 500;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+// Part of the target latency that a caller waits for a refusal at most.
+constexpr int kPatienceParts = 8;
+
+// A call of a request that already runs waits longer: refusing it wastes what
+// was done.
+constexpr int kNestedPatienceParts = 2;
+
+// Time until a refused caller should come back, at least.
+constexpr Duration kShortestRetryAfter = 100ms;
+
+// While nothing is known of the fleet.
+constexpr Duration kStartRetryAfter = 300ms;
+
+// What is left must be enough for another attempt to make sense.
+constexpr Duration kLeastForRepeat = 50ms;
+
+Importance ImportanceOf(int priority) {
+  return static_cast<Importance>(
+      std::clamp(priority, 0, decision::kImportanceCount - 1));
+}
+
+std::optional<Duration> MillisecondsOf(const std::string* text) {
+  if (text == nullptr) {
+    return std::nullopt;
+  }
+  std::int64_t value = 0;
+  const auto* end = text->data() + text->size();
+  const auto [last, error] = std::from_chars(text->data(), end, value);
+  if (error != std::errc() || last != end || value < 0) {
+    return std::nullopt;
+  }
+  constexpr std::int64_t kLongest = 24LL * 3600 * 1000;
+  return std::chrono::milliseconds(std::min(value, kLongest));
+}
+
+std::uint64_t FingerprintOf(const HttpRequest& request) {
+  const auto target = request.method + " " + request.target;
+  const auto head = XXH64(target.data(), target.size(), 0);
+  return XXH64(request.body.data(), request.body.size(), head);
+}
+
+HttpResponse OwnAnswer(int status, Reason reason, Duration retry_after) {
+  HttpResponse response{.status = status};
+  response.headers.push_back({"Content-Type", "text/plain"});
+  if (retry_after > Duration{}) {
+    char seconds[32];
+    std::snprintf(seconds, sizeof(seconds), "%.3f", ToSeconds(retry_after));
+    response.headers.push_back({"Retry-After", seconds});
+  }
+  response.body = std::string(NameOf(decision::kReasonNames, reason)) + "\n";
+  return response;
+}
+
+}  // namespace
+
+CallOrigin::CallOrigin(Options options,
+                       const Dialect& dialect,
+                       membership::Fleet& fleet,
+                       RandomSource& random,
+                       OriginOutput& output)
+    : options(std::move(options)),
+      dialect(dialect),
+      fleet(fleet),
+      random(random),
+      output(output),
+      shares(random),
+      chooser({.self = this->options.self,
+               .failure_domain = this->options.failure_domain},
+              fleet,
+              random),
+      budget(this->options.repeats) {}
+
+void CallOrigin::AnswerNow(Instant /*now*/,
+                           CallId id,
+                           const HttpRequest& request,
+                           bool nested,
+                           int status,
+                           Reason reason) {
+  const auto retry_after =
+      status == kUnavailable ? kStartRetryAfter : Duration{};
+  this->output.AnswerCaller(
+      id, OwnAnswer(status, reason, retry_after), request,
+      {.status = status, .reason = reason, .nested = nested});
+}
+
+void CallOrigin::OnRequest(Instant now,
+                           CallId id,
+                           HttpRequest request,
+                           bool nested) {
+  if (!this->routes) {
+    this->AnswerNow(now, id, request, nested, kUnavailable,
+                    Reason::kWaitingForState);
+    return;
+  }
+  const auto* host = FindHeader(request.headers, "Host");
+  const auto* route =
+      host == nullptr ? nullptr : this->routes->Find(*host, request.target);
+  if (route == nullptr) {
+    this->AnswerNow(now, id, request, nested, kNotFound, Reason::kNoSuchRoute);
+    return;
+  }
+  if (FindHeader(request.headers, this->dialect.request_id) == nullptr) {
+    this->AnswerNow(now, id, request, nested, kBadRequest, Reason::kMalformed);
+    return;
+  }
+  const auto* service = this->shares.Pick(*route);
+  if (service == nullptr) {
+    this->AnswerNow(now, id, request, nested, kUnavailable,
+                    Reason::kNoSuchService);
+    return;
+  }
+  const auto given =
+      MillisecondsOf(FindHeader(request.headers, this->dialect.deadline));
+  const auto limit = std::min(route->timeout, given.value_or(route->timeout));
+  RemoveHeader(request.headers, this->dialect.deadline);
+  RemoveHeader(request.headers, this->dialect.caller_service);
+  RemoveHeader(request.headers, this->dialect.expected_instance);
+  request.headers.push_back(
+      {this->dialect.caller_service, this->options.service});
+  if (!nested) {
+    this->budget.AddRequest(now, *service);
+  }
+  Call call{.id = id,
+            .request = std::make_shared<const HttpRequest>(std::move(request)),
+            .table = this->routes,
+            .route = route,
+            .service = *service,
+            .arrived = now,
+            .deadline = now + limit,
+            .nested = nested};
+  this->deadlines.emplace(call.deadline, id);
+  auto& stored = this->calls.emplace(id, std::move(call)).first->second;
+  this->Dispatch(now, stored, /*needs_room=*/false);
+}
+
+Duration CallOrigin::PatienceOf(Instant now, const Call& call) const {
+  const auto target = call.route->target_latency;
+  const auto parts = call.nested ? kNestedPatienceParts : kPatienceParts;
+  const auto waited = now - call.arrived;
+  const auto left = target / parts - waited;
+  return std::clamp(left, Duration{},
+                    std::max(Duration{}, call.deadline - now));
+}
+
+void CallOrigin::Dispatch(Instant now, Call& call, bool needs_room) {
+  const auto node =
+      this->chooser.Choose(now, call.service, call.tried, needs_room);
+  if (!node) {
+    if (call.reason == Reason::kNone) {
+      call.reason = Reason::kUnreachable;
+    }
+    if (call.may_have_run) {
+      this->Finish(now, call, OwnAnswer(kBadGateway, call.reason, Duration{}),
+                   call.reason);
+    } else {
+      this->Refuse(now, call);
+    }
+    return;
+  }
+  this->SendTo(now, call, *node);
+}
+
+void CallOrigin::SendTo(Instant now, Call& call, NodeAddress node) {
+  call.attempt = Attempt{.node = node, .number = ++call.attempts, .sent = now};
+  call.last_node = node;
+  this->fleet.AttemptSent(now, node);
+  const VisitRequest visit{.attempt = {.origin = this->options.self,
+                                       .incarnation = this->options.incarnation,
+                                       .call = call.id,
+                                       .number = call.attempts},
+                           .service = call.service,
+                           .route = call.route->name,
+                           .remaining = call.deadline - now,
+                           .importance = ImportanceOf(call.route->priority),
+                           .idempotent = call.route->IsIdempotent(),
+                           .fingerprint = FingerprintOf(*call.request),
+                           .nested = call.nested,
+                           .returning = call.returning,
+                           .patience = this->PatienceOf(now, call)};
+  this->output.SendVisit(node, visit, call.request);
+}
+
+CallOrigin::Call* CallOrigin::FindCurrent(const AttemptId& attempt) {
+  const auto found = this->calls.find(attempt.call);
+  const bool is_current =
+      found != this->calls.end() && attempt.origin == this->options.self &&
+      attempt.incarnation == this->options.incarnation &&
+      found->second.attempt && found->second.attempt->number == attempt.number;
+  return is_current ? &found->second : nullptr;
+}
+
+void CallOrigin::OnReply(Instant now,
+                         const VisitReply& reply,
+                         const Answer& answer) {
+  auto* call = this->FindCurrent(reply.attempt);
+  if (call == nullptr) {
+    return;
+  }
+  const auto from = call->attempt->node;
+  this->fleet.TakeLoad(now, from, reply.load);
+  const bool failed = reply.outcome == Outcome::kUnknown ||
+                      reply.reason == Reason::kBackendRejected ||
+                      (answer != nullptr && answer->status >= kServerErrors);
+  this->fleet.AttemptReplied(now, from, failed);
+  call->attempt.reset();
+  call->offered += reply.offered ? 1 : 0;
+  if (reply.outcome == Outcome::kCompleted && answer != nullptr) {
+    // A leaf that failed may do better elsewhere; one with calls of its own
+    // has most likely failed by them.
+    if (answer->status >= kServerErrors && call->route->IsIdempotent() &&
+        this->RepeatCost(now, *call) <= 1) {
+      call->tried.push_back(from);
+      if (this->MayRepeat(now, *call, 1) &&
+          this->chooser.Choose(now, call->service, call->tried, false)) {
+        call->may_have_run = true;
+        this->Dispatch(now, *call, /*needs_room=*/false);
+        return;
+      }
+    }
+    this->Finish(now, *call, *answer, Reason::kNone);
+    return;
+  }
+  call->tried.push_back(from);
+  if (reply.outcome == Outcome::kNotRun) {
+    this->TakeNotRun(now, *call, reply);
+  } else {
+    this->TakeUnknown(now, *call, reply.reason);
+  }
+}
+
+double CallOrigin::RepeatCost(Instant now, const Call& call) {
+  double calls = 0;
+  for (const auto* node : this->fleet.NodesOf(call.service)) {
+    if (node->load_told && now - *node->load_told < 5s) {
+      calls = std::max(calls, node->load.calls_per_request);
+    }
+  }
+  // Each call of a repeated run counts as a repeat at the service that it
+  // goes to, and may cause further ones there.
+  constexpr double kLeafCalls = 0.05;
+  constexpr double kDeeper = 5;
+  return calls < kLeafCalls ? 1 : 1 + calls * kDeeper;
+}
+
+bool CallOrigin::MayRepeat(Instant now, Call& call, double cost) {
+  return call.offered < call.route->most_endpoints &&
+         call.deadline - now > kLeastForRepeat &&
+         this->budget.Take(now, call.service, cost);
+}
+
+void CallOrigin::TakeNotRun(Instant now, Call& call, const VisitReply& reply) {
+  call.reason = reply.reason;
+  if (reply.retry_after > Duration{}) {
+    call.retry_after = reply.retry_after;
+  }
+  switch (reply.reason) {
+    case Reason::kOverloaded:
+      // Another endpoint may have room where this one has none.
+      this->Dispatch(now, call, /*needs_room=*/!call.nested);
+      return;
+    case Reason::kBackendRejected:
+      if (!this->MayRepeat(now, call, 1)) {
+        this->Refuse(now, call);
+        return;
+      }
+      this->Dispatch(now, call, /*needs_room=*/false);
+      return;
+    case Reason::kLeaving:
+    case Reason::kBackendDown:
+    case Reason::kNoSuchService:
+    case Reason::kUnreachable:
+      this->Dispatch(now, call, /*needs_room=*/false);
+      return;
+    default:
+      this->Refuse(now, call);
+      return;
+  }
+}
+
+void CallOrigin::TakeUnknown(Instant now, Call& call, Reason reason) {
+  call.may_have_run = true;
+  call.reason = reason;
+  if (call.route->IsIdempotent() &&
+      this->MayRepeat(now, call, this->RepeatCost(now, call))) {
+    this->Dispatch(now, call, /*needs_room=*/false);
+    return;
+  }
+  this->Finish(now, call, OwnAnswer(kBadGateway, reason, Duration{}), reason);
+}
+
+void CallOrigin::OnAttemptLost(Instant now,
+                               const AttemptId& attempt,
+                               bool sent) {
+  auto* call = this->FindCurrent(attempt);
+  if (call == nullptr) {
+    return;
+  }
+  const auto node = call->attempt->node;
+  this->fleet.AttemptEnded(now, node, /*silent=*/true);
+  call->attempt.reset();
+  call->tried.push_back(node);
+  if (!sent) {
+    call->reason = Reason::kUnreachable;
+    this->Dispatch(now, *call, /*needs_room=*/false);
+    return;
+  }
+  call->offered += 1;
+  this->TakeUnknown(now, *call, Reason::kConnectionLost);
+}
+
+void CallOrigin::DropAttempt(Instant now, Call& call, bool silent) {
+  if (!call.attempt) {
+    return;
+  }
+  const auto attempt = *call.attempt;
+  call.attempt.reset();
+  this->fleet.AttemptEnded(now, attempt.node, silent);
+  this->output.CancelVisit(attempt.node,
+                           {.origin = this->options.self,
+                            .incarnation = this->options.incarnation,
+                            .call = call.id,
+                            .number = attempt.number});
+}
+
+void CallOrigin::OnCallerGone(Instant now, CallId id) {
+  const auto found = this->calls.find(id);
+  if (found == this->calls.end()) {
+    return;
+  }
+  auto& call = found->second;
+  this->DropAttempt(now, call, /*silent=*/false);
+  this->Finish(now, call, OwnAnswer(kBadGateway, Reason::kCancelled, {}),
+               Reason::kCancelled);
+}
+
+void CallOrigin::OnTick(Instant now) {
+  while (!this->deadlines.empty() && this->deadlines.begin()->first <= now) {
+    const auto id = this->deadlines.begin()->second;
+    this->GiveUp(now, this->calls.at(id));
+  }
+  const auto silent = this->fleet.SilentNodes(now);
+  if (silent.empty()) {
+    return;
+  }
+  std::vector<CallId> waiting;
+  for (const auto& [id, call] : this->calls) {
+    if (call.attempt && call.route->IsIdempotent() &&
+        now - call.attempt->sent > 500ms &&
+        std::find(silent.begin(), silent.end(), call.attempt->node) !=
+            silent.end()) {
+      waiting.push_back(id);
+    }
+  }
+  for (const auto id : waiting) {
+    if (const auto found = this->calls.find(id); found != this->calls.end()) {
+      auto& call = found->second;
+      call.tried.push_back(call.attempt->node);
+      call.offered += 1;
+      this->DropAttempt(now, call, /*silent=*/true);
+      this->TakeUnknown(now, call, Reason::kConnectionLost);
+    }
+  }
+}
+
+std::optional<Instant> CallOrigin::NextWake() const {
+  if (this->deadlines.empty()) {
+    return std::nullopt;
+  }
+  return this->deadlines.begin()->first;
+}
+
+void CallOrigin::Refuse(Instant now, Call& call) {
+  const double spread = 0.5 + this->random.Unit();
+  const auto base = std::max(call.retry_after, kShortestRetryAfter);
+  const auto retry_after = std::chrono::duration_cast<Duration>(base * spread);
+  this->Finish(now, call, OwnAnswer(kUnavailable, call.reason, retry_after),
+               call.reason);
+}
+
+void CallOrigin::GiveUp(Instant now, Call& call) {
+  const bool waits = call.attempt.has_value();
+  this->DropAttempt(now, call, /*silent=*/false);
+  if (!waits && !call.may_have_run) {
+    this->Refuse(now, call);
+    return;
+  }
+  // The attempt under way may run, so nothing is promised.
+  this->Finish(now, call,
+               OwnAnswer(kGatewayTimeout, Reason::kDeadlineExceeded, {}),
+               Reason::kDeadlineExceeded);
+}
+
+void CallOrigin::Finish(Instant now,
+                        Call& call,
+                        const HttpResponse& response,
+                        Reason reason) {
+  const CallSummary summary{.route = call.route->name,
+                            .service = call.service,
+                            .status = response.status,
+                            .reason = reason,
+                            .attempts = static_cast<int>(call.attempts),
+                            .elapsed = now - call.arrived,
+                            .nested = call.nested,
+                            .last_node = call.last_node};
+  const auto [first, last] = this->deadlines.equal_range(call.deadline);
+  for (auto entry = first; entry != last; ++entry) {
+    if (entry->second == call.id) {
+      this->deadlines.erase(entry);
+      break;
+    }
+  }
+  // Answering may bring in the caller's next request.
+  const auto node = this->calls.extract(call.id);
+  this->output.AnswerCaller(node.key(), response, *node.mapped().request,
+                            summary);
+}
+
+}  // namespace agaterun::calls
--- /dev/null
+++ b/libraries/calls/call_origin.h
@@ -0,0 +1,166 @@
+#ifndef LIBRARIES_CALLS_CALL_ORIGIN_H_
+#define LIBRARIES_CALLS_CALL_ORIGIN_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "libraries/base/http_message.h"
+#include "libraries/base/random.h"
+#include "libraries/calls/dialect.h"
+#include "libraries/calls/visit_gate.h"
+#include "libraries/decision/messages.h"
+#include "libraries/membership/fleet.h"
+#include "libraries/retries/repeat_budget.h"
+#include "libraries/routing/endpoint_chooser.h"
+#include "libraries/routing/route_table.h"
+#include "libraries/routing/share_picker.h"
+
+namespace agaterun::calls {
+
+// How a call ended, for the log and the counters.
+struct CallSummary {
+  std::string route;
+  std::string service;
+  int status = 0;
+  decision::Reason reason = decision::Reason::kNone;
+  int attempts = 0;
+  Duration elapsed{};
+  bool nested = false;
+  NodeAddress last_node;
+};
+
+// What the origin has done.
+class OriginOutput {
+ public:
+  virtual ~OriginOutput() = default;
+  virtual void SendVisit(NodeAddress to,
+                         const decision::VisitRequest& visit,
+                         const SharedRequest& request) = 0;
+  virtual void CancelVisit(NodeAddress to,
+                           const decision::AttemptId& attempt) = 0;
+  virtual void AnswerCaller(decision::CallId call,
+                            const HttpResponse& response,
+                            const HttpRequest& request,
+                            const CallSummary& summary) = 0;
+};
+
+// Takes the requests of callers on this host to the nodes that guard the
+// backend servers, and gives each its one final answer.
+class CallOrigin {
+ public:
+  struct Options {
+    NodeAddress self;
+    std::uint64_t incarnation = 0;
+    std::string failure_domain;
+    std::string service;  // Of the backend server on this host.
+    retries::RepeatBudget::Options repeats;
+  };
+
+  // `dialect`, `fleet`, `random` and `output` outlive the origin.
+  CallOrigin(Options options,
+             const Dialect& dialect,
+             membership::Fleet& fleet,
+             RandomSource& random,
+             OriginOutput& output);
+
+  void SetRoutes(std::shared_ptr<const routing::RouteTable> routes) {
+    this->routes = std::move(routes);
+  }
+  void SetService(std::string service) {
+    this->options.service = std::move(service);
+  }
+  void SetRepeats(retries::RepeatBudget::Options repeats) {
+    this->budget.SetOptions(repeats);
+  }
+  void SetFleetSize(int nodes) { this->budget.SetFleetSize(nodes); }
+
+  // `nested` for a call of the local backend server.
+  void OnRequest(Instant now,
+                 decision::CallId call,
+                 HttpRequest request,
+                 bool nested);
+  void OnCallerGone(Instant now, decision::CallId call);
+  void OnReply(Instant now,
+               const decision::VisitReply& reply,
+               const decision::Answer& answer);
+  // `sent` is false when no byte of the attempt left this node.
+  void OnAttemptLost(Instant now,
+                     const decision::AttemptId& attempt,
+                     bool sent);
+  void OnTick(Instant now);
+  std::optional<Instant> NextWake() const;
+
+  std::size_t CallsInFlight() const { return this->calls.size(); }
+
+ private:
+  struct Attempt {
+    NodeAddress node;
+    std::uint32_t number = 0;
+    Instant sent{};
+  };
+
+  struct Call {
+    decision::CallId id = 0;
+    SharedRequest request;
+    std::shared_ptr<const routing::RouteTable> table;  // Keeps `route` alive.
+    const routing::Route* route = nullptr;
+    std::string service;
+    Instant arrived{};
+    Instant deadline{};  // For the final answer.
+    bool nested = false;
+    bool returning = false;
+    bool may_have_run = false;
+    int offered = 0;  // Endpoints that were handed the request.
+    std::uint32_t attempts = 0;
+    std::vector<NodeAddress> tried;
+    std::optional<Attempt> attempt;
+    decision::Reason reason = decision::Reason::kNone;
+    Duration retry_after{};
+    NodeAddress last_node;
+  };
+
+  Call* FindCurrent(const decision::AttemptId& attempt);
+  void AnswerNow(Instant now,
+                 decision::CallId id,
+                 const HttpRequest& request,
+                 bool nested,
+                 int status,
+                 decision::Reason reason);
+  // Sends the call to a node that it has not been to, or ends it.
+  void Dispatch(Instant now, Call& call, bool needs_room);
+  void SendTo(Instant now, Call& call, NodeAddress node);
+  void TakeNotRun(Instant now, Call& call, const decision::VisitReply& reply);
+  // The attempt may have run and brought no answer.
+  void TakeUnknown(Instant now, Call& call, decision::Reason reason);
+  bool MayRepeat(Instant now, Call& call, double cost);
+  double RepeatCost(Instant now, const Call& call);
+  Duration PatienceOf(Instant now, const Call& call) const;
+  void Refuse(Instant now, Call& call);
+  void GiveUp(Instant now, Call& call);
+  void Finish(Instant now,
+              Call& call,
+              const HttpResponse& response,
+              decision::Reason reason);
+  void DropAttempt(Instant now, Call& call, bool silent);
+
+  Options options;
+  const Dialect& dialect;
+  membership::Fleet& fleet;
+  RandomSource& random;
+  OriginOutput& output;
+  std::shared_ptr<const routing::RouteTable> routes;
+  routing::SharePicker shares;
+  routing::EndpointChooser chooser;
+  retries::RepeatBudget budget;
+  std::unordered_map<decision::CallId, Call> calls;
+  std::multimap<Instant, decision::CallId> deadlines;
+};
+
+}  // namespace agaterun::calls
+
+#endif  // LIBRARIES_CALLS_CALL_ORIGIN_H_
--- /dev/null
+++ b/libraries/calls/visit_gate.cc
@@ -0,0 +1,321 @@
+#include "libraries/calls/visit_gate.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace agaterun::calls {
+
+namespace {
+
+using decision::Answer;
+using decision::LoadReport;
+using decision::Outcome;
+using decision::Reason;
+using decision::VisitReply;
+using decision::VisitRequest;
+
+// Share of the slots that are filled. Some backend servers slow down when they
+// are nearly full, and a slot may be held by a new connection for a moment.
+constexpr double kFilledShare = 0.94;
+
+// Time past its deadline after which an exchange is broken off here, though
+// nobody cancelled it.
+constexpr Duration kOverdue = 150ms;
+
+// Weight of the latest visit in the share of failures.
+constexpr double kFailureWeight = 0.05;
+
+// Counts of visits and nested calls are halved at this many.
+constexpr double kCountedVisits = 400;
+
+constexpr int kServerErrors = 500;
+
+// Requests of trees that have begun go before those that begin one, but for
+// the most important of these.
+int RankOf(const VisitRequest& request) {
+  constexpr int kNestedRank = 1;
+  const int importance = static_cast<int>(request.importance);
+  if (request.nested) {
+    return std::min(importance, kNestedRank) * 2;
+  }
+  return importance * 2 + (request.returning ? 0 : 1);
+}
+
+}  // namespace
+
+void VisitGate::SetEntry(Instant now,
+                         std::optional<membership::EndpointEntry> new_entry) {
+  this->entry = std::move(new_entry);
+  if (this->entry) {
+    this->queue.SetLimit(static_cast<int>(this->entry->slots * kFilledShare));
+  }
+  if (const auto reason = this->Closed(); reason != Reason::kNone) {
+    this->RefuseQueued(now, reason);
+    return;
+  }
+  this->Pump(now);
+}
+
+void VisitGate::SetReachable(Instant now, bool is_reachable) {
+  this->reachable = is_reachable;
+  if (is_reachable) {
+    this->Pump(now);
+  } else {
+    // What waits here can run elsewhere at once.
+    this->RefuseQueued(now, Reason::kBackendDown);
+  }
+}
+
+void VisitGate::StartLeaving(Instant now) {
+  this->stopping = true;
+  this->RefuseQueued(now, Reason::kLeaving);
+}
+
+Reason VisitGate::Closed() const {
+  if (this->stopping || (this->entry && this->entry->leaving)) {
+    return Reason::kLeaving;
+  }
+  if (!this->entry || !this->reachable) {
+    return Reason::kBackendDown;
+  }
+  return Reason::kNone;
+}
+
+void VisitGate::OnVisit(Instant now,
+                        NodeAddress from,
+                        const VisitRequest& request,
+                        SharedRequest http) {
+  if (this->by_attempt.contains(request.attempt)) {
+    return;
+  }
+  const auto number = this->next_number++;
+  this->by_attempt.emplace(request.attempt, number);
+  this->visits.emplace(number, Visit{.from = from,
+                                     .request = request,
+                                     .http = std::move(http),
+                                     .arrived = now,
+                                     .deadline = now + request.remaining});
+  auto reason = this->Closed();
+  if (request.service != this->options.service) {
+    reason = Reason::kNoSuchService;
+  }
+  if (reason != Reason::kNone) {
+    this->Refuse(now, number, reason);
+    return;
+  }
+  const int rank = RankOf(request);
+  if (this->queue.MayStart(rank)) {
+    this->Start(now, number);
+    return;
+  }
+  const auto wait = this->queue.ExpectedWait(rank);
+  if (wait > request.patience) {
+    this->Refuse(now, number, Reason::kOverloaded);
+    return;
+  }
+  this->queue.Push(
+      {.id = number, .rank = rank, .latest_start = now + request.patience});
+}
+
+void VisitGate::Start(Instant now, VisitNumber number) {
+  auto& visit = this->visits.at(number);
+  if (visit.deadline <= now) {
+    this->Refuse(now, number, Reason::kDeadlineExceeded);
+    return;
+  }
+  visit.running = true;
+  visit.started = now;
+  this->queue.Started();
+  this->started_visits += 1;
+  if (this->started_visits > kCountedVisits) {
+    this->started_visits /= 2;
+    this->nested_calls /= 2;
+  }
+  this->output.StartExchange(number, visit.http, visit.request.idempotent,
+                             this->entry->id, visit.deadline - now);
+}
+
+void VisitGate::Pump(Instant now) {
+  if (this->Closed() != Reason::kNone) {
+    return;
+  }
+  while (const auto next = this->queue.Pop()) {
+    this->Start(now, *next);
+  }
+}
+
+void VisitGate::RefuseQueued(Instant now, Reason reason) {
+  for (const auto number : this->queue.TakeAll()) {
+    this->Refuse(now, number, reason);
+  }
+}
+
+void VisitGate::Refuse(Instant now, VisitNumber number, Reason reason) {
+  const auto& visit = this->visits.at(number);
+  this->output.ReportVisit(LogEvent::kVisitRefused, *visit.http, reason,
+                           now - visit.arrived);
+  this->Reply(visit, Outcome::kNotRun, reason, /*offered=*/false, nullptr);
+  this->End(number);
+}
+
+void VisitGate::Reply(const Visit& visit,
+                      Outcome outcome,
+                      Reason reason,
+                      bool offered,
+                      Answer answer) {
+  if (visit.replied) {
+    return;
+  }
+  VisitReply reply{.attempt = visit.request.attempt,
+                   .outcome = outcome,
+                   .reason = reason,
+                   .load = this->Load(),
+                   .offered = offered};
+  if (reason == Reason::kOverloaded) {
+    constexpr int kLastRank = 1000;
+    reply.retry_after = this->queue.ExpectedWait(kLastRank);
+  }
+  this->output.SendReply(visit.from, std::move(reply), std::move(answer));
+}
+
+void VisitGate::End(VisitNumber number) {
+  const auto found = this->visits.find(number);
+  this->by_attempt.erase(found->second.request.attempt);
+  this->visits.erase(found);
+}
+
+void VisitGate::OnCancelled(Instant now, const decision::AttemptId& attempt) {
+  const auto found = this->by_attempt.find(attempt);
+  if (found == this->by_attempt.end()) {
+    return;
+  }
+  const auto number = found->second;
+  auto& visit = this->visits.at(number);
+  if (!visit.running) {
+    this->queue.Remove(number);
+    this->Reply(visit, Outcome::kNotRun, Reason::kCancelled, false, nullptr);
+    this->End(number);
+    return;
+  }
+  this->Reply(visit, Outcome::kUnknown, Reason::kCancelled, true, nullptr);
+  if (!visit.request.idempotent && visit.deadline > now) {
+    // What must not run twice is not left half done either.
+    visit.replied = true;
+    return;
+  }
+  this->output.AbortExchange(number);
+  this->queue.Ended(now - visit.started);
+  this->End(number);
+  this->Pump(now);
+}
+
+void VisitGate::NoteResult(bool failed) {
+  this->failure_share +=
+      ((failed ? 1.0 : 0.0) - this->failure_share) * kFailureWeight;
+}
+
+void VisitGate::TakeAnswer(Instant now, VisitNumber number, Answer answer) {
+  const auto& visit = this->visits.at(number);
+  switch (ClassOf(*answer, this->dialect)) {
+    case AnswerClass::kWhole:
+      this->NoteResult(answer->status >= kServerErrors);
+      this->queue.Ended(now - visit.started);
+      this->Reply(visit, Outcome::kCompleted, Reason::kNone, true,
+                  std::move(answer));
+      return;
+    case AnswerClass::kNotRun:
+      this->NoteResult(true);
+      this->queue.Released();
+      this->Reply(visit, Outcome::kNotRun, Reason::kBackendRejected, true,
+                  nullptr);
+      return;
+    case AnswerClass::kOtherInstance:
+      this->queue.Released();
+      this->Reply(visit, Outcome::kNotRun, Reason::kBackendDown, false,
+                  nullptr);
+      this->entry.reset();
+      this->output.OnOtherInstance();
+      return;
+    case AnswerClass::kInvalid:
+      this->NoteResult(true);
+      this->queue.Ended(now - visit.started);
+      this->Reply(visit, Outcome::kUnknown, Reason::kBackendFailed, true,
+                  nullptr);
+      return;
+  }
+}
+
+void VisitGate::OnExchangeEnded(Instant now,
+                                VisitNumber number,
+                                ExchangeEnd end,
+                                Answer answer) {
+  const auto found = this->visits.find(number);
+  if (found == this->visits.end()) {
+    return;
+  }
+  const auto& visit = found->second;
+  switch (end) {
+    case ExchangeEnd::kAnswered:
+      this->TakeAnswer(now, number, std::move(answer));
+      break;
+    case ExchangeEnd::kNotSent:
+      this->queue.Released();
+      this->output.ReportVisit(LogEvent::kVisitRefused, *visit.http,
+                               Reason::kBackendDown, now - visit.arrived);
+      this->Reply(visit, Outcome::kNotRun, Reason::kBackendDown, false,
+                  nullptr);
+      break;
+    case ExchangeEnd::kBroken:
+      this->NoteResult(true);
+      this->queue.Ended(now - visit.started);
+      this->output.ReportVisit(LogEvent::kVisitBroken, *visit.http,
+                               Reason::kBackendFailed, now - visit.started);
+      this->Reply(visit, Outcome::kUnknown, Reason::kBackendFailed, true,
+                  nullptr);
+      break;
+  }
+  this->End(number);
+  this->Pump(now);
+}
+
+void VisitGate::OnTick(Instant now) {
+  for (const auto number : this->queue.TakeExpired(now)) {
+    this->Refuse(now, number, Reason::kOverloaded);
+  }
+  std::vector<VisitNumber> overdue;
+  for (const auto& [number, visit] : this->visits) {
+    if (visit.running && now - visit.deadline > kOverdue) {
+      overdue.push_back(number);
+    }
+  }
+  for (const auto number : overdue) {
+    const auto& visit = this->visits.at(number);
+    this->output.AbortExchange(number);
+    this->queue.Ended(now - visit.started);
+    this->Reply(visit, Outcome::kUnknown, Reason::kDeadlineExceeded, true,
+                nullptr);
+    this->End(number);
+  }
+  this->Pump(now);
+}
+
+std::optional<Instant> VisitGate::NextWake() const {
+  return this->queue.NextExpiry();
+}
+
+LoadReport VisitGate::Load() const {
+  LoadReport load{
+      .running = static_cast<std::uint32_t>(this->queue.Running()),
+      .queued = static_cast<std::uint32_t>(this->queue.Queued()),
+      .limit = static_cast<std::uint32_t>(this->queue.Limit()),
+      .leaving = this->stopping || (this->entry && this->entry->leaving),
+      .backend_up = this->entry.has_value() && this->reachable,
+      .service_time = this->queue.ServiceTime(),
+      .failure_share = this->failure_share};
+  if (this->started_visits > 0) {
+    load.calls_per_request = this->nested_calls / this->started_visits;
+  }
+  return load;
+}
+
+}  // namespace agaterun::calls
--- /dev/null
+++ b/libraries/calls/visit_gate.h
@@ -0,0 +1,148 @@
+#ifndef LIBRARIES_CALLS_VISIT_GATE_H_
+#define LIBRARIES_CALLS_VISIT_GATE_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "libraries/admission/slot_queue.h"
+#include "libraries/base/http_message.h"
+#include "libraries/base/log_event.h"
+#include "libraries/calls/dialect.h"
+#include "libraries/decision/messages.h"
+#include "libraries/membership/endpoint_entry.h"
+
+namespace agaterun::calls {
+
+// A request at the gate, queued or at the backend server.
+using VisitNumber = std::uint64_t;
+
+using SharedRequest = std::shared_ptr<const HttpRequest>;
+
+// How an exchange with the backend server ended.
+enum class ExchangeEnd {
+  kAnswered,
+  kNotSent,  // No byte of the request was written.
+  kBroken,   // It may have run.
+};
+
+// What the gate has done.
+class GateOutput {
+ public:
+  virtual ~GateOutput() = default;
+  // Sends the request to the backend server, which is to be `instance` and to
+  // end within `remaining`.
+  virtual void StartExchange(VisitNumber visit,
+                             const SharedRequest& request,
+                             bool idempotent,
+                             const std::string& instance,
+                             Duration remaining) = 0;
+  // Breaks off an exchange. No OnExchangeEnded follows.
+  virtual void AbortExchange(VisitNumber visit) = 0;
+  virtual void SendReply(NodeAddress to,
+                         decision::VisitReply reply,
+                         decision::Answer answer) = 0;
+  // Another backend server than the one listed has the address.
+  virtual void OnOtherInstance() = 0;
+  virtual void ReportVisit(LogEvent event,
+                           const HttpRequest& request,
+                           decision::Reason reason,
+                           Duration elapsed) = 0;
+};
+
+// Guards the backend server on this host: everything that reaches it passes
+// here, so it never holds more than it can run.
+class VisitGate {
+ public:
+  struct Options {
+    std::string service;
+  };
+
+  // `dialect` and `output` outlive the gate.
+  VisitGate(Options options, const Dialect& dialect, GateOutput& output)
+      : options(std::move(options)), dialect(dialect), output(output) {}
+
+  void SetService(std::string service) {
+    this->options.service = std::move(service);
+  }
+  const std::string& Service() const { return this->options.service; }
+
+  // The backend server's entry in the platform's list; nothing while none is
+  // known, or when it has been removed.
+  void SetEntry(Instant now, std::optional<membership::EndpointEntry> entry);
+  const std::optional<membership::EndpointEntry>& Entry() const {
+    return this->entry;
+  }
+
+  // The backend server takes connections, or none.
+  void SetReachable(Instant now, bool reachable);
+
+  // This process ends: takes no more visits.
+  void StartLeaving(Instant now);
+
+  void OnVisit(Instant now,
+               NodeAddress from,
+               const decision::VisitRequest& visit,
+               SharedRequest request);
+  void OnCancelled(Instant now, const decision::AttemptId& attempt);
+  // `answer` is set when the exchange was answered.
+  void OnExchangeEnded(Instant now,
+                       VisitNumber visit,
+                       ExchangeEnd end,
+                       decision::Answer answer);
+  void OnTick(Instant now);
+  std::optional<Instant> NextWake() const;
+
+  // A call of the backend server itself came out.
+  void CountNestedCall() { this->nested_calls += 1; }
+
+  decision::LoadReport Load() const;
+  std::size_t VisitsInFlight() const { return this->visits.size(); }
+
+ private:
+  struct Visit {
+    NodeAddress from;
+    decision::VisitRequest request;
+    SharedRequest http;
+    Instant arrived{};
+    Instant deadline{};
+    Instant started{};
+    bool running = false;
+    bool replied = false;
+  };
+
+  decision::Reason Closed() const;
+  void Start(Instant now, VisitNumber number);
+  void Pump(Instant now);
+  void RefuseQueued(Instant now, decision::Reason reason);
+  void Reply(const Visit& visit,
+             decision::Outcome outcome,
+             decision::Reason reason,
+             bool offered,
+             decision::Answer answer);
+  void Refuse(Instant now, VisitNumber number, decision::Reason reason);
+  void TakeAnswer(Instant now, VisitNumber number, decision::Answer answer);
+  void End(VisitNumber number);
+  void NoteResult(bool failed);
+
+  Options options;
+  const Dialect& dialect;
+  GateOutput& output;
+  std::optional<membership::EndpointEntry> entry;
+  bool reachable = true;
+  bool stopping = false;
+  admission::SlotQueue queue;
+  VisitNumber next_number = 1;
+  std::unordered_map<VisitNumber, Visit> visits;
+  std::unordered_map<decision::AttemptId, VisitNumber> by_attempt;
+  double failure_share = 0;
+  double started_visits = 0;  // Fading, like the calls they are held against.
+  double nested_calls = 0;
+};
+
+}  // namespace agaterun::calls
+
+#endif  // LIBRARIES_CALLS_VISIT_GATE_H_
--- a/libraries/decision/messages.h
+++ b/libraries/decision/messages.h
@@ -60,11 +60,23 @@
   std::uint32_t limit = 0;    // Concurrency limit in force.
   bool leaving = false;       // Takes no new work.
   bool backend_up = true;
+  // Mean time of a request at the backend server; zero when not known.
+  Duration service_time{};
+  // Of the answers, lately: failures of the backend server itself.
+  double failure_share = 0;
+  // Calls that the backend server sends while it runs one request, mean.
+  double calls_per_request = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
+    // Parts in a million: the archive has whole numbers alone.
+    constexpr double kParts = 1e6;
+    auto failing = static_cast<std::uint32_t>(this->failure_share * kParts);
+    auto calls = static_cast<std::uint32_t>(this->calls_per_request * kParts);
     archive(this->running, this->queued, this->limit, this->leaving,
-            this->backend_up);
+            this->backend_up, this->service_time, failing, calls);
+    this->failure_share = failing / kParts;
+    this->calls_per_request = calls / kParts;
   }
 };
 
@@ -98,13 +110,17 @@
   std::string share;              // Team or caller that is charged.
   std::optional<Binding> binding;
   std::optional<Binding> moved_to;
+  bool nested = false;     // Sent by a backend server that runs a request.
+  bool returning = false;  // Its caller was refused before.
+  Duration patience{};     // Longest wait for a slot.
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->attempt, this->kind, this->service, this->route,
             this->remaining, this->importance, this->admission_key,
             this->idempotent, this->allowance, this->request_id,
-            this->fingerprint, this->share, this->binding, this->moved_to);
+            this->fingerprint, this->share, this->binding, this->moved_to,
+            this->nested, this->returning, this->patience);
   }
 };
 
@@ -125,12 +141,14 @@
   std::optional<Binding> next_binding;
   // Where a moved binding now lives.
   std::optional<Binding> moved_to;
+  // The request reached the backend server, whatever became of it there.
+  bool offered = false;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->attempt, this->outcome, this->reason, this->retry_after,
             this->unspent_allowance, this->load, this->thresholds,
-            this->next_binding, this->moved_to);
+            this->next_binding, this->moved_to, this->offered);
   }
 };
 
--- a/libraries/decision/request_types.h
+++ b/libraries/decision/request_types.h
@@ -63,6 +63,7 @@
   kWaitingForState,   // The node has not learned the tickets in force yet.
   kMalformed,         // The request itself is invalid.
   kLimitReached,      // A table of the node is full.
+  kBackendRejected,   // The backend server itself said that it did not run it.
 };
 
 inline constexpr std::array kReasonNames = {
@@ -87,6 +88,7 @@
     EnumName<Reason>{Reason::kWaitingForState, "waiting-for-state"},
     EnumName<Reason>{Reason::kMalformed, "malformed"},
     EnumName<Reason>{Reason::kLimitReached, "limit-reached"},
+    EnumName<Reason>{Reason::kBackendRejected, "backend-rejected"},
 };
 
 // A call at its origin node. Never reused within one incarnation.
--- a/libraries/decision/retry_rule.cc
+++ b/libraries/decision/retry_rule.cc
@@ -6,6 +6,7 @@
   switch (reason) {
     case Reason::kOverloaded:
     case Reason::kLimitReached:
+    case Reason::kBackendRejected:
       // One endpoint may be hot while another idles; more than one more try
       // would add load to a service that sheds it.
       return RetryRule::kOnceWithRoom;
--- a/libraries/http/message_reader.h
+++ b/libraries/http/message_reader.h
@@ -51,6 +51,14 @@
     return used + *body_used;
   }
 
+  // The connection ended: the end of a body that nothing else ends.
+  void FeedEnd() {
+    if (this->parser && this->parser->need_eof()) {
+      boost::system::error_code ignored;
+      this->parser->put_eof(ignored);
+    }
+  }
+
   bool HasStarted() const { return this->head.HasStarted(); }
   bool HeadIsDone() const { return this->parser.has_value(); }
   bool IsDone() const { return this->parser && this->parser->is_done(); }
--- a/libraries/http/response_parser.h
+++ b/libraries/http/response_parser.h
@@ -3,20 +3,26 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 #include "libraries/base/error.h"
 #include "libraries/base/http_message.h"
+#include "libraries/base/time.h"
 #include "libraries/http/message_limits.h"
 
 namespace agaterun::http {
 
 // Reads HTTP/1.1 responses. A response whose end only the close of the
-// connection marks can't be told from a cut one and is refused. Interim
-// responses (1xx) are skipped.
+// connection marks can't be told from a cut one and is refused, unless it is
+// asked for. Interim responses (1xx) are skipped.
 class ResponseParser {
  public:
-  explicit ResponseParser(MessageLimits limits);
+  enum class WithoutLength { kRefused, kEndsWithConnection };
+
+  explicit ResponseParser(
+      MessageLimits limits,
+      WithoutLength without_length = WithoutLength::kRefused);
   ~ResponseParser();
   ResponseParser(ResponseParser&& other) noexcept;
   ResponseParser& operator=(ResponseParser&& other) noexcept;
@@ -30,6 +36,13 @@
   bool IsDone() const;
   bool HasStarted() const;
 
+  // The connection ended in an orderly way, which is the end of a response
+  // without a length.
+  void FeedEnd();
+
+  // Time that the sender keeps an idle connection, when the response told it.
+  std::optional<Duration> IdleTimeout() const { return this->idle_timeout; }
+
   // The whole response, and starts on the next one. Only when IsDone().
   HttpResponse Take(bool& keep_alive);
 
@@ -41,6 +54,8 @@
 
   std::unique_ptr<State> state;  // Of the response that has started.
   MessageLimits limits;
+  WithoutLength without_length;
+  std::optional<Duration> idle_timeout;
   bool no_body = false;
 };
 
--- /dev/null
+++ b/libraries/membership/fleet.cc
@@ -0,0 +1,169 @@
+#include "libraries/membership/fleet.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace agaterun::membership {
+
+namespace {
+
+// A node that the list no longer names counts as there while it is heard.
+constexpr Duration kHeardTrusted = 1500ms;
+
+// Silence that tells of a loss. Heartbeats come several times in it.
+constexpr Duration kSilence = 1s;
+
+// Weight of the latest answer in the share of failures.
+constexpr double kFailureWeight = 0.08;
+
+// Attempts that end together when a connection breaks count as one loss.
+constexpr Duration kOneLoss = 20ms;
+
+}  // namespace
+
+FleetNode& Fleet::At(NodeAddress node) {
+  auto& entry = this->nodes[node];
+  entry.node = node;
+  return entry;
+}
+
+FleetNode* Fleet::Find(NodeAddress node) {
+  const auto found = this->nodes.find(node);
+  return found == this->nodes.end() ? nullptr : &found->second;
+}
+
+void Fleet::SetList(Instant now, const std::vector<EndpointEntry>& entries) {
+  this->list = entries;
+  for (auto& [address, node] : this->nodes) {
+    node.listed = false;
+  }
+  for (const auto& entry : entries) {
+    auto& node = this->At(this->NodeOf(entry));
+    // Of several entries at one address the newest is the one that lives.
+    if (node.listed && entry.started_at < node.started_at) {
+      continue;
+    }
+    if (node.service != entry.service) {
+      node.load = {};
+      node.load_told.reset();
+    }
+    node.service = entry.service;
+    node.failure_domain = entry.failure_domain;
+    node.slots = entry.slots;
+    node.listed = true;
+    node.listed_as_leaving = entry.leaving;
+    if (node.started_at != entry.started_at) {
+      node.failure_share = 0;
+      node.cold_until = now + entry.cold_for;
+    }
+    node.started_at = entry.started_at;
+  }
+  this->ForgetGone(now);
+  this->by_service.clear();
+  for (const auto& [address, node] : this->nodes) {
+    this->by_service[node.service].push_back(address);
+  }
+  for (auto& [service, addresses] : this->by_service) {
+    std::sort(addresses.begin(), addresses.end());
+  }
+}
+
+void Fleet::ForgetGone(Instant now) {
+  std::erase_if(this->nodes, [&](const auto& item) {
+    const auto& node = item.second;
+    return !node.listed && node.in_flight == 0 &&
+           (!node.last_heard || now - *node.last_heard > kHeardTrusted);
+  });
+}
+
+std::optional<EndpointEntry> Fleet::EntryAt(NodeAddress address) const {
+  std::optional<EndpointEntry> newest;
+  for (const auto& entry : this->list) {
+    if (entry.address == address &&
+        (!newest || entry.started_at >= newest->started_at)) {
+      newest = entry;
+    }
+  }
+  return newest;
+}
+
+std::vector<FleetNode*> Fleet::NodesOf(std::string_view service) {
+  std::vector<FleetNode*> found;
+  const auto addresses = this->by_service.find(service);
+  if (addresses == this->by_service.end()) {
+    return found;
+  }
+  for (const auto address : addresses->second) {
+    if (auto* node = this->Find(address); node != nullptr) {
+      found.push_back(node);
+    }
+  }
+  return found;
+}
+
+void Fleet::Heard(Instant now, NodeAddress address) {
+  auto* node = this->Find(address);
+  if (node == nullptr) {
+    return;
+  }
+  node->last_heard = now;
+  node->waiting_since = now;
+}
+
+void Fleet::TakeLoad(Instant now,
+                     NodeAddress address,
+                     const decision::LoadReport& load) {
+  auto* node = this->Find(address);
+  if (node == nullptr) {
+    return;
+  }
+  this->Heard(now, address);
+  node->load = load;
+  node->load_told = now;
+  node->sent_since_told = 0;
+}
+
+void Fleet::AttemptSent(Instant now, NodeAddress address) {
+  auto& node = this->At(address);
+  if (node.in_flight == 0) {
+    node.waiting_since = now;
+  }
+  ++node.in_flight;
+  ++node.sent_since_told;
+}
+
+void Fleet::AttemptReplied(Instant now, NodeAddress address, bool failed) {
+  auto& node = this->At(address);
+  node.in_flight = std::max(0, node.in_flight - 1);
+  node.losses = 0;
+  node.failure_share +=
+      ((failed ? 1.0 : 0.0) - node.failure_share) * kFailureWeight;
+  node.failure_told = now;
+  this->Heard(now, address);
+}
+
+void Fleet::AttemptEnded(Instant now, NodeAddress address, bool silent) {
+  auto& node = this->At(address);
+  node.in_flight = std::max(0, node.in_flight - 1);
+  if (!silent) {
+    return;
+  }
+  if (node.losses == 0 || now - node.last_loss > kOneLoss) {
+    ++node.losses;
+    node.last_loss = now;
+  }
+}
+
+std::vector<NodeAddress> Fleet::SilentNodes(Instant now) const {
+  std::vector<NodeAddress> silent;
+  for (const auto& [address, node] : this->nodes) {
+    if (node.in_flight > 0 && address != this->options.self &&
+        now - node.waiting_since > kSilence) {
+      silent.push_back(address);
+    }
+  }
+  return silent;
+}
+
+}  // namespace agaterun::membership
--- /dev/null
+++ b/libraries/proxy/call_log.cc
@@ -0,0 +1,95 @@
+#include "libraries/proxy/call_log.h"
+
+#include <cstdio>
+
+#include "libraries/base/log.h"
+
+namespace agaterun::proxy {
+
+namespace {
+
+constexpr std::uint64_t kLinesPerSecond = 20;
+constexpr int kServerErrors = 500;
+constexpr int kUnavailable = 503;
+
+std::string Milliseconds(Duration duration) {
+  char text[32];
+  std::snprintf(text, sizeof(text), "%.1f", ToMilliseconds(duration));
+  return text;
+}
+
+decision::Outcome OutcomeOf(const calls::CallSummary& summary) {
+  if (summary.reason == decision::Reason::kNone) {
+    return decision::Outcome::kCompleted;
+  }
+  return summary.status == kUnavailable || summary.status < kServerErrors
+             ? decision::Outcome::kNotRun
+             : decision::Outcome::kUnknown;
+}
+
+}  // namespace
+
+bool CallLog::Admit(Instant now, LogEvent event, std::string& left_out) {
+  auto& limiter = this->limiters[event];
+  if (!limiter) {
+    limiter = std::make_unique<node::LogLimiter>(
+        node::LogLimiter::Options{.lines = kLinesPerSecond});
+  }
+  const auto dropped = limiter->Admit(now);
+  if (!dropped) {
+    return false;
+  }
+  left_out = std::to_string(*dropped);
+  return true;
+}
+
+void CallLog::NoteCall(Instant now,
+                       const std::string& request_id,
+                       const calls::CallSummary& summary) {
+  const auto outcome = OutcomeOf(summary);
+  this->metrics.RecordCall(decision::Importance::kNormal, outcome,
+                           summary.reason, summary.elapsed);
+  if (summary.status < kServerErrors) {
+    return;
+  }
+  const auto event = summary.reason != decision::Reason::kNone &&
+                             summary.status == kUnavailable
+                         ? LogEvent::kCallRefused
+                         : LogEvent::kCallFailed;
+  std::string left_out;
+  if (!this->Admit(now, event, left_out)) {
+    return;
+  }
+  Log(event,
+      {{"id", request_id},
+       {"route", summary.route},
+       {"service", summary.service},
+       {"status", std::to_string(summary.status)},
+       {"reason", std::string(NameOf(decision::kReasonNames, summary.reason))},
+       {"attempts", std::to_string(summary.attempts)},
+       {"node", summary.last_node.ToString()},
+       {"ms", Milliseconds(summary.elapsed)},
+       {"nested", summary.nested ? "yes" : "no"},
+       {"left_out", left_out}});
+}
+
+void CallLog::NoteVisit(Instant now,
+                        LogEvent event,
+                        const std::string& request_id,
+                        decision::Reason reason,
+                        Duration elapsed) {
+  this->metrics.RecordVisit(event == LogEvent::kVisitBroken
+                                ? decision::Outcome::kUnknown
+                                : decision::Outcome::kNotRun,
+                            reason);
+  std::string left_out;
+  if (!this->Admit(now, event, left_out)) {
+    return;
+  }
+  Log(event, {{"id", request_id},
+              {"reason", std::string(NameOf(decision::kReasonNames, reason))},
+              {"ms", Milliseconds(elapsed)},
+              {"left_out", left_out}});
+}
+
+}  // namespace agaterun::proxy
--- /dev/null
+++ b/libraries/proxy/endpoint_connection.cc
@@ -0,0 +1,209 @@
+#include "libraries/proxy/endpoint_connection.h"
+
+#include <algorithm>
+#include <array>
+#include <asio/buffer.hpp>
+#include <asio/write.hpp>
+#include <utility>
+
+#include "libraries/base/clock.h"
+#include "libraries/base/verify.h"
+
+namespace agaterun::proxy {
+
+namespace {
+
+using asio::ip::tcp;
+
+constexpr std::size_t kScratchBytes = 64 * 1024;
+constexpr std::size_t kLargestAnswer = 64 * 1024 * 1024;
+constexpr int kFirstFailure = 300;
+
+// While the backend server has not told how long it keeps idle connections.
+constexpr Duration kDefaultIdleTime = 4s;
+
+std::array<char, kScratchBytes>& Scratch() {
+  static std::array<char, kScratchBytes> scratch;
+  return scratch;
+}
+
+http::ResponseParser MakeParser() {
+  return http::ResponseParser(
+      {.body_bytes = kLargestAnswer},
+      http::ResponseParser::WithoutLength::kEndsWithConnection);
+}
+
+}  // namespace
+
+EndpointConnection::EndpointConnection(asio::io_context& io,
+                                       EndpointConnectionOwner& owner,
+                                       std::string request_id_header)
+    : socket(io),
+      owner(owner),
+      request_id_header(std::move(request_id_header)),
+      parser(MakeParser()) {}
+
+void EndpointConnection::Connect(NodeAddress address) {
+  std::error_code ignored;
+  this->socket.open(tcp::v4(), ignored);
+  this->socket.set_option(tcp::no_delay(true), ignored);
+  const tcp::endpoint target(asio::ip::address_v4(address.ip), address.port);
+  this->socket.async_connect(
+      target, [self = this->shared_from_this()](const std::error_code& error) {
+        if (self->state != State::kConnecting) {
+          return;
+        }
+        if (!error) {
+          std::error_code ignored;
+          self->socket.non_blocking(true, ignored);
+          self->state = State::kIdle;
+          self->idle_since = MonotonicClock().Now();
+          self->Read();
+        }
+        self->owner.OnConnectEnded(self, !error);
+      });
+}
+
+Duration EndpointConnection::UsableIdleTime() const {
+  const auto told = this->parser.IdleTimeout();
+  // Closed a good while before the other side closes it.
+  return told ? std::max(Duration{}, *told * 7 / 10) : kDefaultIdleTime;
+}
+
+void EndpointConnection::Send(std::string bytes, std::string id, bool is_head) {
+  VERIFY(this->state == State::kIdle);
+  this->state = State::kBusy;
+  this->request = std::move(bytes);
+  this->request_id = std::move(id);
+  if (is_head) {
+    this->parser.ExpectNoBody();
+  }
+  this->writing = true;
+  asio::async_write(
+      this->socket, asio::buffer(this->request),
+      [self = this->shared_from_this()](const std::error_code& /*error*/,
+                                        std::size_t /*count*/) {
+        // A failed write shows at the reading side too, after whatever answer
+        // came before it.
+        self->writing = false;
+      });
+  this->Read();
+}
+
+void EndpointConnection::Read() {
+  if (this->reading || this->state == State::kClosed) {
+    return;
+  }
+  this->reading = true;
+  this->socket.async_wait(
+      tcp::socket::wait_read,
+      [self = this->shared_from_this()](const std::error_code& error) {
+        self->reading = false;
+        self->OnReadable(error);
+      });
+}
+
+void EndpointConnection::OnReadable(const std::error_code& error) {
+  if (this->state == State::kClosed) {
+    return;
+  }
+  std::error_code read_error = error;
+  std::size_t count = 0;
+  if (!read_error) {
+    count = this->socket.read_some(asio::buffer(Scratch()), read_error);
+  }
+  if (read_error == asio::error::would_block) {
+    this->Read();
+    return;
+  }
+  if (read_error) {
+    this->OnEnd(read_error == asio::error::eof);
+    return;
+  }
+  this->OnBytes(std::string_view(Scratch().data(), count));
+}
+
+void EndpointConnection::OnBytes(std::string_view bytes) {
+  if (this->state == State::kIdle) {
+    // Whatever this is, nothing asked for it.
+    this->OnEnd(/*orderly=*/false);
+    return;
+  }
+  while (!bytes.empty() && this->state == State::kBusy) {
+    const auto used = this->parser.Feed(bytes);
+    if (!used) {
+      this->OnEnd(/*orderly=*/false);
+      return;
+    }
+    bytes.remove_prefix(*used);
+    if (!this->parser.IsDone()) {
+      break;
+    }
+    this->TakeResponse(!bytes.empty());
+  }
+  if (this->state == State::kBusy || this->state == State::kIdle) {
+    this->Read();
+  }
+}
+
+// An answer that came too late for its request may stand where the next one
+// is due; the id tells. Answers without an id are taken for failures only.
+bool EndpointConnection::IsOwnAnswer(const HttpResponse& response) const {
+  const auto* id = FindHeader(response.headers, this->request_id_header);
+  if (id == nullptr) {
+    return response.status >= kFirstFailure;
+  }
+  return *id == this->request_id;
+}
+
+void EndpointConnection::TakeResponse(bool trailing_bytes) {
+  bool keep_alive = false;
+  auto response = this->parser.Take(keep_alive);
+  if (!this->IsOwnAnswer(response)) {
+    this->saw_foreign_answer = true;
+    if (!keep_alive) {
+      this->OnEnd(/*orderly=*/false);
+    }
+    return;
+  }
+  // An answer that came before the whole request was sent leaves bytes on the
+  // way that would be taken for the next request.
+  const bool reusable = keep_alive && !trailing_bytes && !this->writing &&
+                        !this->saw_foreign_answer;
+  const auto self = this->shared_from_this();
+  if (reusable) {
+    this->state = State::kIdle;
+    this->idle_since = MonotonicClock().Now();
+  } else {
+    this->Close();
+  }
+  this->owner.OnAnswered(self, std::move(response), reusable);
+}
+
+void EndpointConnection::OnEnd(bool orderly) {
+  const auto self = this->shared_from_this();
+  if (this->state == State::kIdle) {
+    this->Close();
+    this->owner.OnIdleEnded(self);
+    return;
+  }
+  if (orderly) {
+    this->parser.FeedEnd();
+    if (this->parser.IsDone()) {
+      this->TakeResponse(/*trailing_bytes=*/false);
+      if (this->state == State::kClosed) {
+        return;
+      }
+    }
+  }
+  this->Close();
+  this->owner.OnBroken(self);
+}
+
+void EndpointConnection::Close() {
+  this->state = State::kClosed;
+  std::error_code ignored;
+  this->socket.close(ignored);
+}
+
+}  // namespace agaterun::proxy
--- /dev/null
+++ b/libraries/proxy/endpoint_pool.cc
@@ -0,0 +1,228 @@
+#include "libraries/proxy/endpoint_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "libraries/base/clock.h"
+
+namespace agaterun::proxy {
+
+namespace {
+
+using calls::ExchangeEnd;
+using calls::VisitNumber;
+
+constexpr Duration kSweepInterval = 100ms;
+
+Instant Now() {
+  return MonotonicClock().Now();
+}
+
+}  // namespace
+
+EndpointPool::EndpointPool(asio::io_context& io,
+                           Options options,
+                           EndpointObserver& observer)
+    : io(io),
+      options(std::move(options)),
+      observer(observer),
+      sweep_timer(io),
+      last_word(Now()) {
+  this->Sweep();
+}
+
+EndpointPool::~EndpointPool() {
+  this->CloseIdle();
+  for (const auto& [key, entry] : this->connecting) {
+    entry.connection->Close();
+  }
+  for (const auto& [visit, connection] : this->by_visit) {
+    connection->Close();
+  }
+}
+
+void EndpointPool::Start(Exchange exchange) {
+  if (const auto connection = this->TakeIdle(exchange.idempotent); connection) {
+    this->SendOn(connection, std::move(exchange));
+    return;
+  }
+  this->Open(std::move(exchange));
+}
+
+EndpointPool::Connection EndpointPool::TakeIdle(bool idempotent) {
+  if (this->idle.empty()) {
+    return nullptr;
+  }
+  const auto idle_for = Now() - this->idle.back()->IdleSince();
+  const auto usable = this->idle.back()->UsableIdleTime();
+  if (idle_for > usable ||
+      (!idempotent && idle_for > this->options.fresh_idle_time)) {
+    return nullptr;
+  }
+  auto connection = std::move(this->idle.back());
+  this->idle.pop_back();
+  return connection;
+}
+
+void EndpointPool::Open(Exchange exchange) {
+  auto connection = std::make_shared<EndpointConnection>(
+      this->io, *this, this->options.request_id_header);
+  ++this->connections_made;
+  if (exchange.visit != 0) {
+    this->by_visit[exchange.visit] = connection;
+  }
+  this->connecting.emplace(connection.get(),
+                           Connecting{.connection = connection,
+                                      .exchange = std::move(exchange),
+                                      .since = Now()});
+  connection->Connect(this->options.backend_server);
+}
+
+void EndpointPool::SendOn(const Connection& connection, Exchange exchange) {
+  if (this->busy.empty()) {
+    this->last_word = Now();
+  }
+  this->busy[connection.get()] = exchange.visit;
+  this->by_visit[exchange.visit] = connection;
+  connection->Send(std::move(exchange.bytes), std::move(exchange.request_id),
+                   exchange.is_head);
+}
+
+void EndpointPool::OnConnectEnded(const Connection& connection,
+                                  bool connected) {
+  auto node = this->connecting.extract(connection.get());
+  auto& exchange = node.mapped().exchange;
+  if (connected) {
+    this->last_word = Now();
+    this->SetReachable(true);
+    if (exchange.visit == 0) {
+      this->idle.push_back(connection);
+    } else {
+      this->SendOn(connection, std::move(exchange));
+    }
+    return;
+  }
+  connection->Close();
+  const auto visit = exchange.visit;
+  this->by_visit.erase(visit);
+  this->SetReachable(false);
+  if (visit != 0) {
+    this->observer.OnExchangeEnded(visit, ExchangeEnd::kNotSent, nullptr);
+  }
+}
+
+void EndpointPool::OnAnswered(const Connection& connection,
+                              HttpResponse response,
+                              bool reusable) {
+  this->last_word = Now();
+  const auto visit = this->busy.extract(connection.get()).mapped();
+  this->by_visit.erase(visit);
+  if (reusable) {
+    this->idle.push_back(connection);
+  }
+  this->observer.OnExchangeEnded(
+      visit, ExchangeEnd::kAnswered,
+      std::make_shared<const HttpResponse>(std::move(response)));
+}
+
+void EndpointPool::OnBroken(const Connection& connection) {
+  const auto visit = this->busy.extract(connection.get()).mapped();
+  this->by_visit.erase(visit);
+  this->observer.OnExchangeEnded(visit, ExchangeEnd::kBroken, nullptr);
+}
+
+void EndpointPool::OnIdleEnded(const Connection& connection) {
+  std::erase(this->idle, connection);
+}
+
+void EndpointPool::Abort(VisitNumber visit) {
+  const auto found = this->by_visit.find(visit);
+  if (found == this->by_visit.end()) {
+    return;
+  }
+  const auto connection = found->second;
+  this->by_visit.erase(found);
+  this->connecting.erase(connection.get());
+  this->busy.erase(connection.get());
+  connection->Close();
+}
+
+void EndpointPool::CloseIdle() {
+  for (const auto& connection : std::exchange(this->idle, {})) {
+    connection->Close();
+  }
+}
+
+void EndpointPool::SetReachable(bool is_reachable) {
+  if (this->reachable == is_reachable) {
+    return;
+  }
+  this->reachable = is_reachable;
+  if (!is_reachable) {
+    this->CloseIdle();
+  }
+  this->observer.OnBackendReachable(is_reachable);
+}
+
+void EndpointPool::CheckSilence(Instant now) {
+  const bool is_silent =
+      !this->busy.empty() && now - this->last_word > this->options.silence;
+  if (!this->reachable || is_silent) {
+    const bool probes = std::any_of(
+        this->connecting.begin(), this->connecting.end(),
+        [](const auto& item) { return item.second.exchange.visit == 0; });
+    if (!probes && now - this->last_probe > this->options.probe_interval) {
+      this->last_probe = now;
+      this->Open({});
+    }
+  }
+}
+
+void EndpointPool::BreakAll() {
+  std::vector<VisitNumber> visits;
+  for (const auto& [key, visit] : this->busy) {
+    visits.push_back(visit);
+  }
+  for (const auto visit : visits) {
+    this->Abort(visit);
+    this->observer.OnExchangeEnded(visit, ExchangeEnd::kBroken, nullptr);
+  }
+}
+
+void EndpointPool::Sweep() {
+  const auto now = Now();
+  while (!this->idle.empty()) {
+    const auto& oldest = this->idle.front();
+    if (now - oldest->IdleSince() <= oldest->UsableIdleTime()) {
+      break;
+    }
+    oldest->Close();
+    this->idle.erase(this->idle.begin());
+  }
+  std::vector<Connection> late;
+  for (const auto& [key, entry] : this->connecting) {
+    if (now - entry.since > this->options.connect_timeout) {
+      late.push_back(entry.connection);
+    }
+  }
+  for (const auto& connection : late) {
+    if (!this->connecting.contains(connection.get())) {
+      continue;
+    }
+    const bool was_silent = now - this->last_word > this->options.silence;
+    this->OnConnectEnded(connection, /*connected=*/false);
+    if (was_silent) {
+      // Neither new nor kept connections hear anything: it is gone.
+      this->BreakAll();
+    }
+  }
+  this->CheckSilence(now);
+  this->sweep_timer.expires_after(kSweepInterval);
+  this->sweep_timer.async_wait([this](const std::error_code& error) {
+    if (!error) {
+      this->Sweep();
+    }
+  });
+}
+
+}  // namespace agaterun::proxy
--- /dev/null
+++ b/libraries/proxy/endpoint_pool.h
@@ -0,0 +1,111 @@
+#ifndef LIBRARIES_PROXY_ENDPOINT_POOL_H_
+#define LIBRARIES_PROXY_ENDPOINT_POOL_H_
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "libraries/base/http_message.h"
+#include "libraries/base/node_address.h"
+#include "libraries/calls/visit_gate.h"
+#include "libraries/proxy/endpoint_connection.h"
+
+namespace agaterun::proxy {
+
+// Hears of exchanges with the backend server.
+class EndpointObserver {
+ public:
+  virtual ~EndpointObserver() = default;
+  virtual void OnExchangeEnded(calls::VisitNumber visit,
+                               calls::ExchangeEnd end,
+                               decision::Answer answer) = 0;
+  // Told at each change.
+  virtual void OnBackendReachable(bool reachable) = 0;
+};
+
+// Exchanges with the local backend server over few kept connections.
+class EndpointPool : public EndpointConnectionOwner {
+ public:
+  struct Options {
+    NodeAddress backend_server;
+    std::string request_id_header;
+    Duration connect_timeout = 300ms;
+    // While it takes no connections.
+    Duration probe_interval = 250ms;
+    // A request that must not run twice goes out on a connection that was
+    // used no longer ago.
+    Duration fresh_idle_time = 1s;
+    // Without any byte from a busy backend server, a connection is tried.
+    Duration silence = 500ms;
+  };
+
+  // `io` and `observer` outlive the pool.
+  EndpointPool(asio::io_context& io,
+               Options options,
+               EndpointObserver& observer);
+  ~EndpointPool() override;
+
+  struct Exchange {
+    calls::VisitNumber visit = 0;
+    std::string bytes;
+    std::string request_id;
+    bool is_head = false;
+    bool idempotent = false;
+  };
+
+  // Ends in OnExchangeEnded, unless Abort comes first.
+  void Start(Exchange exchange);
+  void Abort(calls::VisitNumber visit);
+
+  // Forgets all idle connections, since another backend server is there.
+  void CloseIdle();
+
+  std::uint64_t ConnectionsMade() const { return this->connections_made; }
+
+  void OnConnectEnded(const std::shared_ptr<EndpointConnection>& connection,
+                      bool connected) override;
+  void OnAnswered(const std::shared_ptr<EndpointConnection>& connection,
+                  HttpResponse response,
+                  bool reusable) override;
+  void OnBroken(const std::shared_ptr<EndpointConnection>& connection) override;
+  void OnIdleEnded(
+      const std::shared_ptr<EndpointConnection>& connection) override;
+
+ private:
+  using Connection = std::shared_ptr<EndpointConnection>;
+
+  struct Connecting {
+    Connection connection;
+    Exchange exchange;  // Nothing to send yet when its visit is 0.
+    Instant since{};
+  };
+
+  Connection TakeIdle(bool idempotent);
+  void Open(Exchange exchange);
+  void SendOn(const Connection& connection, Exchange exchange);
+  void SetReachable(bool reachable);
+  void Sweep();
+  void CheckSilence(Instant now);
+  void BreakAll();
+
+  asio::io_context& io;
+  Options options;
+  EndpointObserver& observer;
+  asio::steady_timer sweep_timer;
+  std::vector<Connection> idle;  // Last used last.
+  std::unordered_map<EndpointConnection*, Connecting> connecting;
+  std::unordered_map<EndpointConnection*, calls::VisitNumber> busy;
+  std::unordered_map<calls::VisitNumber, Connection> by_visit;
+  bool reachable = true;
+  Instant last_probe{};
+  Instant last_word{};
+  std::uint64_t connections_made = 0;
+};
+
+}  // namespace agaterun::proxy
+
+#endif  // LIBRARIES_PROXY_ENDPOINT_POOL_H_
--- /dev/null
+++ b/libraries/proxy/http_connection.cc
@@ -0,0 +1,302 @@
+#include "libraries/proxy/http_connection.h"
+
+#include <algorithm>
+#include <array>
+#include <asio/buffer.hpp>
+#include <asio/write.hpp>
+#include <utility>
+
+#include "libraries/base/clock.h"
+#include "libraries/http/message_writer.h"
+
+namespace agaterun::proxy {
+
+namespace {
+
+using asio::ip::tcp;
+
+constexpr std::size_t kScratchBytes = 64 * 1024;
+constexpr Duration kLingerTime = 1s;
+constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
+constexpr int kContentTooLarge = 413;
+constexpr int kHeadersTooLarge = 431;
+
+// Waiting holds no buffer: bytes land in one that all connections share.
+std::array<char, kScratchBytes>& Scratch() {
+  static std::array<char, kScratchBytes> scratch;
+  return scratch;
+}
+
+}  // namespace
+
+HttpConnection::HttpConnection(HttpListener& listener, tcp::socket socket)
+    : listener(&listener),
+      socket(std::move(socket)),
+      parser(listener.GetOptions().limits) {
+  std::error_code ignored;
+  this->socket.set_option(tcp::no_delay(true), ignored);
+  this->socket.non_blocking(true, ignored);
+  if (const auto remote = this->socket.remote_endpoint(ignored); !ignored) {
+    this->caller = {.ip = remote.address().to_v4().to_uint(),
+                    .port = remote.port()};
+  }
+}
+
+void HttpConnection::Start() {
+  this->SetDeadline(this->listener->GetOptions().idle_timeout);
+  this->WaitForInput();
+}
+
+void HttpConnection::SetDeadline(Duration from_now) {
+  this->deadline = MonotonicClock().Now() + from_now;
+}
+
+bool HttpConnection::IsIdle() const {
+  return this->pending.empty() && this->output.empty() &&
+         this->writing.empty() && !this->parser.HasStarted() &&
+         this->read_ahead.empty();
+}
+
+void HttpConnection::WaitForInput() {
+  if (this->waiting_for_input || this->closed) {
+    return;
+  }
+  this->waiting_for_input = true;
+  this->socket.async_wait(
+      tcp::socket::wait_read,
+      [self = this->shared_from_this()](const std::error_code& error) {
+        self->waiting_for_input = false;
+        self->OnReadable(error);
+      });
+}
+
+void HttpConnection::OnReadable(const std::error_code& error) {
+  if (this->closed) {
+    return;
+  }
+  if (error) {
+    this->Close();
+    return;
+  }
+  std::error_code read_error;
+  const auto count =
+      this->socket.read_some(asio::buffer(Scratch()), read_error);
+  if (read_error == asio::error::would_block) {
+    this->WaitForInput();
+    return;
+  }
+  if (read_error) {
+    this->Close();
+    return;
+  }
+  if (!this->lingering && !this->reading_stopped) {
+    this->Parse(std::string_view(Scratch().data(), count));
+  }
+  // Also while requests are in flight: the end of the connection is how the
+  // caller says that it no longer waits.
+  const bool is_full = this->read_ahead.size() >
+                       this->listener->GetOptions().limits.body_bytes +
+                           this->listener->GetOptions().limits.header_bytes;
+  if (!this->closed && !is_full) {
+    this->WaitForInput();
+  }
+}
+
+void HttpConnection::Parse(std::string_view bytes) {
+  if (this->parsing) {
+    this->read_ahead.append(bytes);
+    return;
+  }
+  this->parsing = true;
+  std::string held;
+  if (!this->read_ahead.empty()) {
+    held = std::exchange(this->read_ahead, {});
+    held.append(bytes);
+    bytes = held;
+  }
+  const auto self = this->shared_from_this();
+  while (!bytes.empty() && !this->closed && !this->reading_stopped) {
+    if (this->pending.size() >= this->listener->GetOptions().most_pipelined) {
+      this->read_ahead.append(bytes);
+      break;
+    }
+    const bool had_started = this->parser.HasStarted();
+    const auto used = this->parser.Feed(bytes);
+    if (!used) {
+      this->Reject(used.error());
+      break;
+    }
+    bytes.remove_prefix(*used);
+    if (this->parser.IsDone()) {
+      this->TakeRequest();
+      continue;
+    }
+    if (!had_started && this->pending.empty()) {
+      this->SetDeadline(this->listener->GetOptions().header_timeout);
+    }
+    if (this->parser.ExpectsContinue() && !this->continue_sent &&
+        this->pending.empty()) {
+      this->continue_sent = true;
+      this->output += "HTTP/1.1 100 Continue\r\n\r\n";
+      this->Write();
+    }
+    break;
+  }
+  this->parsing = false;
+}
+
+void HttpConnection::TakeRequest() {
+  bool keep_alive = false;
+  auto request = this->parser.Take(keep_alive);
+  this->continue_sent = false;
+  this->pending.push_back(
+      {.keep_alive = keep_alive, .is_head = request.method == "HEAD"});
+  if (!keep_alive) {
+    this->reading_stopped = true;
+  }
+  this->listener->Begin(this->shared_from_this(), std::move(request),
+                        this->caller);
+}
+
+void HttpConnection::Expect(decision::CallId call) {
+  this->pending.back().call = call;
+}
+
+void HttpConnection::Reject(const Error& error) {
+  int status = kBadRequest;
+  if (error.kind == ErrorKind::kLimitReached) {
+    status = this->parser.HeadIsDone() ? kContentTooLarge : kHeadersTooLarge;
+  }
+  this->RejectWith(status, error.message);
+}
+
+void HttpConnection::RejectWith(int status, const std::string& message) {
+  this->reading_stopped = true;
+  HttpResponse response{.status = status, .body = message + "\n"};
+  response.headers.push_back({"Content-Type", "text/plain"});
+  this->pending.push_back(
+      {.keep_alive = false, .response = std::move(response)});
+  this->Flush();
+}
+
+void HttpConnection::Answer(decision::CallId call,
+                            const HttpResponse& response) {
+  for (auto& entry : this->pending) {
+    if (entry.call == call && !entry.response) {
+      entry.response = response;
+      break;
+    }
+  }
+  this->Flush();
+  // There is room for requests that came behind the others.
+  if (!this->read_ahead.empty() && !this->closed && !this->parsing) {
+    this->Parse({});
+    this->WaitForInput();
+  }
+}
+
+void HttpConnection::Flush() {
+  while (!this->pending.empty() && this->pending.front().response) {
+    const auto& front = this->pending.front();
+    const bool is_last = this->pending.size() == 1 &&
+                         !this->parser.HasStarted() && this->read_ahead.empty();
+    const bool keep_alive =
+        front.keep_alive && !(is_last && this->listener->IsClosing());
+    this->output +=
+        http::WriteResponse(*front.response, keep_alive, front.is_head);
+    this->pending.pop_front();
+    if (!keep_alive) {
+      this->closes_after_output = true;
+      this->reading_stopped = true;
+    }
+  }
+  this->Write();
+}
+
+void HttpConnection::Write() {
+  if (!this->writing.empty() || this->output.empty() || this->closed) {
+    return;
+  }
+  this->writing = std::exchange(this->output, {});
+  this->SetDeadline(this->listener->GetOptions().write_timeout);
+  asio::async_write(this->socket, asio::buffer(this->writing),
+                    [self = this->shared_from_this()](
+                        const std::error_code& error, std::size_t /*count*/) {
+                      self->OnWritten(error);
+                    });
+}
+
+void HttpConnection::OnWritten(const std::error_code& error) {
+  if (this->closed) {
+    return;
+  }
+  this->writing = {};
+  if (error) {
+    this->Close();
+    return;
+  }
+  this->SetDeadline(this->listener->GetOptions().idle_timeout);
+  if (!this->output.empty()) {
+    this->Write();
+    return;
+  }
+  if (this->closes_after_output) {
+    this->Linger();
+  }
+}
+
+void HttpConnection::Linger() {
+  // A close with unread bytes would take the answer back.
+  std::error_code ignored;
+  this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+  this->lingering = true;
+  this->SetDeadline(kLingerTime);
+  this->WaitForInput();
+}
+
+void HttpConnection::CloseWhenIdle() {
+  if (this->IsIdle()) {
+    this->Close();
+  }
+}
+
+void HttpConnection::CheckDeadline(Instant now) {
+  if (this->closed || now < this->deadline) {
+    return;
+  }
+  if (!this->writing.empty() || this->lingering || this->IsIdle()) {
+    this->Close();
+    return;
+  }
+  if (this->pending.empty() && this->parser.HasStarted() &&
+      !this->reading_stopped) {
+    this->RejectWith(kRequestTimeout,
+                     "the request did not come in time; send it faster");
+  }
+}
+
+void HttpConnection::Detach() {
+  this->listener = nullptr;
+  this->closed = true;
+  std::error_code ignored;
+  this->socket.close(ignored);
+}
+
+void HttpConnection::Close() {
+  if (this->closed) {
+    return;
+  }
+  this->closed = true;
+  const auto self = this->shared_from_this();
+  std::error_code ignored;
+  this->socket.close(ignored);
+  for (const auto& entry : std::exchange(this->pending, {})) {
+    if (entry.call != 0 && !entry.response) {
+      this->listener->Abandon(entry.call);
+    }
+  }
+  this->listener->Remove(self);
+}
+
+}  // namespace agaterun::proxy
--- /dev/null
+++ b/libraries/proxy/proxy_node.cc
@@ -0,0 +1,549 @@
+#include "libraries/proxy/proxy_node.h"
+
+#include <algorithm>
+#include <asio/post.hpp>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "libraries/base/log.h"
+#include "libraries/http/message_writer.h"
+#include "libraries/routing/route_table.h"
+
+namespace agaterun::proxy {
+
+namespace {
+
+using decision::Answer;
+using decision::AttemptId;
+using decision::CallId;
+using decision::VisitReply;
+using decision::VisitRequest;
+
+constexpr Duration kTickInterval = 50ms;
+constexpr Duration kHeartbeatInterval = 300ms;
+
+// After the signal to stop, callers are told to go elsewhere for this long.
+constexpr Duration kLeaveTime = 3s;
+// Kept between the last moment of a planned stop and the kill.
+constexpr Duration kStopMargin = 500ms;
+
+// Time for which a connection to another node waits for it.
+constexpr Duration kLinkTimeout = 1s;
+
+}  // namespace
+
+ProxyNode::ProxyNode(asio::io_context& io,
+                     NodeSettings settings,
+                     calls::Dialect dialect,
+                     std::function<void()> on_stopped)
+    : io(io),
+      settings(std::move(settings)),
+      dialect(std::move(dialect)),
+      on_stopped(std::move(on_stopped)),
+      // Zero stands for an incarnation that is not known.
+      incarnation(this->random.Next() | 1),
+      fleet({.self = this->settings.node,
+             .node_port = this->settings.node.port,
+             .failure_domain = this->settings.failure_domain}),
+      gate({.service = this->settings.service}, this->dialect, *this),
+      origin({.self = this->settings.node,
+              .incarnation = this->incarnation,
+              .failure_domain = this->settings.failure_domain,
+              .service = this->settings.service},
+             this->dialect,
+             this->fleet,
+             this->random,
+             *this),
+      spread(this->settings.node, this->random),
+      wake_timer(io),
+      tick_timer(io) {
+  this->SetSettings(this->settings);
+}
+
+ProxyNode::~ProxyNode() = default;
+
+Result<std::unique_ptr<ProxyNode>> ProxyNode::Create(
+    asio::io_context& io,
+    NodeSettings settings,
+    calls::Dialect dialect,
+    const SourceFactory& make_source,
+    std::function<void()> on_stopped) {
+  std::unique_ptr<ProxyNode> created(new ProxyNode(
+      io, std::move(settings), std::move(dialect), std::move(on_stopped)));
+  if (auto opened = created->Open(make_source); !opened) {
+    return tl::unexpected(opened.error());
+  }
+  return created;
+}
+
+Result<void> ProxyNode::Open(const SourceFactory& make_source) {
+  auto made = node::NodeLinks::Create(this->io,
+                                      {.self = this->settings.node,
+                                       .incarnation = this->incarnation,
+                                       .connect_timeout = kLinkTimeout},
+                                      *this);
+  if (!made) {
+    return tl::unexpected(made.error());
+  }
+  this->links = std::move(*made);
+  this->pool = std::make_unique<EndpointPool>(
+      this->io,
+      EndpointPool::Options{.backend_server = *this->settings.backend_server,
+                            .request_id_header = this->dialect.request_id},
+      *this);
+  this->callers = std::make_unique<HttpListener>(
+      this->io,
+      HttpListener::Options{
+          .listen = this->settings.caller,
+          .most_connections = this->settings.caller_connections},
+      this->call_ids, *this);
+  this->readiness = std::make_unique<ReadinessServer>(
+      this->io,
+      ReadinessServer::Options{.listen = this->settings.readiness,
+                               .readiness_path = this->dialect.readiness_path},
+      ReadinessServer::Source{
+          .is_ready = [this] { return this->IsReady(); },
+          .metrics = [this] { return this->call_log.Metrics(); },
+          .state = [this] { return this->StateText(); }});
+  if (auto listening = this->callers->Listen(); !listening) {
+    return listening;
+  }
+  if (auto listening = this->readiness->Listen(); !listening) {
+    return listening;
+  }
+  this->source = make_source(this->io, this->random, *this);
+  this->source->Start();
+  this->Tick();
+  return {};
+}
+
+void ProxyNode::SetSettings(const NodeSettings& new_settings) {
+  this->settings.service = new_settings.service;
+  this->settings.stop_grace = new_settings.stop_grace;
+  this->gate.SetService(new_settings.service);
+  this->origin.SetService(new_settings.service);
+  this->origin.SetRepeats({.ratio = new_settings.repeat_ratio,
+                           .extra = new_settings.repeat_extra,
+                           .window = new_settings.repeat_window});
+  this->FollowLocalEntry();
+}
+
+bool ProxyNode::IsReady() const {
+  return !this->stopping_since && this->spread.Version() > 0 &&
+         this->spread.ListRevision() > 0;
+}
+
+std::string ProxyNode::RequestIdOf(const HttpRequest& request) const {
+  const auto* id = FindHeader(request.headers, this->dialect.request_id);
+  return id == nullptr ? "-" : *id;
+}
+
+// --- Callers. ---
+
+void ProxyNode::OnRequest(CallId call,
+                          HttpRequest request,
+                          NodeAddress caller) {
+  const bool nested = caller.ip == this->settings.caller.ip;
+  if (nested) {
+    this->gate.CountNestedCall();
+  }
+  this->origin.OnRequest(this->Now(), call, std::move(request), nested);
+  this->ArmWakeTimer();
+}
+
+void ProxyNode::OnCallerGone(CallId call) {
+  this->origin.OnCallerGone(this->Now(), call);
+}
+
+void ProxyNode::AnswerCaller(CallId call,
+                             const HttpResponse& response,
+                             const HttpRequest& request,
+                             const calls::CallSummary& summary) {
+  this->call_log.NoteCall(this->Now(), this->RequestIdOf(request), summary);
+  this->callers->Answer(call, response);
+}
+
+// --- Other nodes. ---
+
+void ProxyNode::SendVisit(NodeAddress to,
+                          const VisitRequest& visit,
+                          const calls::SharedRequest& request) {
+  if (to == this->settings.node) {
+    this->visit_origins[visit.attempt] = to;
+    this->gate.OnVisit(this->Now(), to, visit, request);
+    return;
+  }
+  this->links->SendVisit(to, visit, *request);
+}
+
+void ProxyNode::CancelVisit(NodeAddress to, const AttemptId& attempt) {
+  if (to == this->settings.node) {
+    this->gate.OnCancelled(this->Now(), attempt);
+    return;
+  }
+  this->links->CancelVisit(to, attempt);
+}
+
+void ProxyNode::OnVisit(NodeAddress from,
+                        VisitRequest visit,
+                        HttpRequest request) {
+  this->visit_origins[visit.attempt] = from;
+  this->gate.OnVisit(this->Now(), from, visit,
+                     std::make_shared<const HttpRequest>(std::move(request)));
+  this->ArmWakeTimer();
+}
+
+void ProxyNode::OnVisitCancelled(AttemptId attempt) {
+  this->gate.OnCancelled(this->Now(), attempt);
+}
+
+void ProxyNode::SendReply(NodeAddress to, VisitReply reply, Answer answer) {
+  this->visit_origins.erase(reply.attempt);
+  if (to == this->settings.node) {
+    this->origin.OnReply(this->Now(), reply, answer);
+    return;
+  }
+  this->links->SendReply(to, reply, answer);
+}
+
+void ProxyNode::OnReply(VisitReply reply, Answer answer) {
+  this->origin.OnReply(this->Now(), reply, answer);
+  this->ArmWakeTimer();
+}
+
+void ProxyNode::OnAttemptLost(AttemptId attempt, bool sent) {
+  this->origin.OnAttemptLost(this->Now(), attempt, sent);
+  this->ArmWakeTimer();
+}
+
+void ProxyNode::OnHeartbeat(decision::Heartbeat heartbeat) {
+  this->fleet.TakeLoad(this->Now(), heartbeat.from, heartbeat.load);
+  this->OnDigestSeen(heartbeat.from, heartbeat.state_digest);
+}
+
+void ProxyNode::OnDigestSeen(NodeAddress peer, std::uint64_t digest) {
+  this->fleet.Heard(this->Now(), peer);
+  if (this->spread.ShouldAsk(this->Now(), peer, digest)) {
+    this->links->RequestTicketItems(peer, {});
+  }
+}
+
+void ProxyNode::OnTicketItemsWanted(
+    NodeAddress from,
+    std::vector<decision::TicketItemVersion> /*have*/) {
+  this->links->SendTicketItems(from, this->spread.Items());
+}
+
+void ProxyNode::OnTicketItems(NodeAddress /*from*/,
+                              std::vector<decision::TicketItemText> items) {
+  if (const auto* item = membership::StateSpread::FindConfiguration(items);
+      item != nullptr && item->number > this->spread.Version()) {
+    auto configuration = this->source->DecodeConfiguration(item->text);
+    if (configuration) {
+      this->OnConfiguration(std::make_shared<const routing::Configuration>(
+                                *std::move(configuration)),
+                            item->text);
+    } else {
+      Log(LogEvent::kConfigurationRefused,
+          {{"why", configuration.error().message}});
+    }
+  }
+  if (this->platform_reached) {
+    return;
+  }
+  if (auto list = membership::StateSpread::ReadList(items);
+      list && list->revision > this->spread.ListRevision()) {
+    this->OnEndpointList(*std::move(list));
+  }
+}
+
+// --- The platform. ---
+
+void ProxyNode::OnConfiguration(
+    std::shared_ptr<const routing::Configuration> configuration,
+    std::string text) {
+  if (configuration->version <= this->spread.Version()) {
+    return;
+  }
+  Log(LogEvent::kConfigurationInForce,
+      {{"version", std::to_string(configuration->version)},
+       {"routes", std::to_string(configuration->routes.size())}});
+  this->spread.SetConfiguration(configuration->version, std::move(text));
+  this->links->SetStateDigest(configuration->version);
+  const auto& limits = configuration->limits;
+  this->callers->SetLimits(
+      {.header_bytes = limits.header_bytes, .body_bytes = limits.body_bytes},
+      limits.header_timeout, limits.idle_timeout);
+  this->origin.SetRoutes(
+      std::make_shared<const routing::RouteTable>(std::move(configuration)));
+}
+
+void ProxyNode::OnEndpointList(membership::EndpointList list) {
+  // A list that may be old must not take back what is known.
+  if (list.revision < this->spread.ListRevision()) {
+    return;
+  }
+  this->fleet.SetList(this->Now(), list.entries);
+  this->origin.SetFleetSize(static_cast<int>(list.entries.size()));
+  this->spread.SetList(list);
+  this->FollowLocalEntry();
+}
+
+void ProxyNode::FollowLocalEntry() {
+  if (!this->settings.backend_server || !this->source) {
+    return;
+  }
+  const auto listed = this->fleet.EntryAt(*this->settings.backend_server);
+  if (!listed || listed->service != this->settings.service) {
+    return;
+  }
+  const auto& known = this->gate.Entry();
+  if (known && known->started_at > listed->started_at) {
+    return;
+  }
+  if (!this->platform_reached && !known) {
+    // Nobody can tell more than the list that a peer passed on.
+    this->SetLocalEntry(listed);
+  }
+  this->source->WatchLocalEndpoint(listed->id);
+}
+
+void ProxyNode::OnLocalEndpoint(membership::LocalEndpoint endpoint) {
+  if (endpoint.entry &&
+      (endpoint.entry->service != this->settings.service ||
+       endpoint.entry->address != *this->settings.backend_server)) {
+    endpoint.entry.reset();
+  }
+  this->SetLocalEntry(std::move(endpoint.entry));
+}
+
+void ProxyNode::SetLocalEntry(std::optional<membership::EndpointEntry> entry) {
+  const auto& known = this->gate.Entry();
+  const bool is_new = entry && (!known || known->id != entry->id ||
+                                known->started_at != entry->started_at ||
+                                known->leaving != entry->leaving);
+  if (is_new) {
+    Log(LogEvent::kBackendListed,
+        {{"instance", entry->id},
+         {"state", entry->leaving ? "leaving" : "ready"},
+         {"slots", std::to_string(entry->slots)}});
+  } else if (!entry && known) {
+    Log(LogEvent::kBackendUnlisted, {{"instance", known->id}});
+  }
+  const bool other_life =
+      entry && known &&
+      (known->id != entry->id || known->started_at != entry->started_at);
+  if (other_life) {
+    this->pool->CloseIdle();
+  }
+  const bool changes = is_new || entry.has_value() != known.has_value();
+  this->gate.SetEntry(this->Now(), std::move(entry));
+  this->fleet.TakeLoad(this->Now(), this->settings.node, this->gate.Load());
+  if (changes) {
+    this->SendHeartbeats();
+  }
+}
+
+void ProxyNode::OnPlatformReached(bool reached, std::string why) {
+  if (reached == this->platform_reached && why.empty()) {
+    return;
+  }
+  this->platform_reached = reached;
+  Log(reached ? LogEvent::kPlatformReached : LogEvent::kPlatformUnreachable,
+      {{"why", why}});
+}
+
+// --- The backend server. ---
+
+void ProxyNode::StartExchange(calls::VisitNumber visit,
+                              const calls::SharedRequest& request,
+                              bool idempotent,
+                              const std::string& instance,
+                              Duration remaining) {
+  const auto milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count();
+  HttpRequest copy = *request;
+  copy.headers.push_back(
+      {this->dialect.deadline,
+       std::to_string(std::max<std::int64_t>(1, milliseconds))});
+  copy.headers.push_back({this->dialect.expected_instance, instance});
+  this->pool->Start({.visit = visit,
+                     .bytes = http::WriteRequest(copy, {}),
+                     .request_id = this->RequestIdOf(copy),
+                     .is_head = copy.method == "HEAD",
+                     .idempotent = idempotent});
+}
+
+void ProxyNode::AbortExchange(calls::VisitNumber visit) {
+  this->pool->Abort(visit);
+}
+
+void ProxyNode::OnExchangeEnded(calls::VisitNumber visit,
+                                calls::ExchangeEnd end,
+                                Answer answer) {
+  this->gate.OnExchangeEnded(this->Now(), visit, end, std::move(answer));
+  this->ArmWakeTimer();
+}
+
+void ProxyNode::OnBackendReachable(bool reachable) {
+  Log(reachable ? LogEvent::kBackendUp : LogEvent::kBackendDown);
+  this->gate.SetReachable(this->Now(), reachable);
+  this->fleet.TakeLoad(this->Now(), this->settings.node, this->gate.Load());
+  this->SendHeartbeats();
+}
+
+void ProxyNode::OnOtherInstance() {
+  Log(LogEvent::kOtherInstance);
+  this->pool->CloseIdle();
+  this->source->WatchLocalEndpoint("");
+}
+
+void ProxyNode::ReportVisit(LogEvent event,
+                            const HttpRequest& request,
+                            decision::Reason reason,
+                            Duration elapsed) {
+  this->call_log.NoteVisit(this->Now(), event, this->RequestIdOf(request),
+                           reason, elapsed);
+}
+
+// --- Time. ---
+
+void ProxyNode::ArmWakeTimer() {
+  Instant next = Instant::max();
+  for (const auto wake : {this->origin.NextWake(), this->gate.NextWake()}) {
+    next = wake ? std::min(next, *wake) : next;
+  }
+  if (next >= this->armed_for) {
+    return;
+  }
+  this->armed_for = next;
+  this->wake_timer.expires_after(std::max(Duration{}, next - this->Now()));
+  this->wake_timer.async_wait([this](const std::error_code& error) {
+    if (!error) {
+      this->OnTick();
+    }
+  });
+}
+
+void ProxyNode::OnTick() {
+  this->armed_for = Instant::max();
+  const auto now = this->Now();
+  this->gate.OnTick(now);
+  this->origin.OnTick(now);
+  this->ArmWakeTimer();
+}
+
+void ProxyNode::Tick() {
+  this->OnTick();
+  const auto now = this->Now();
+  this->fleet.TakeLoad(now, this->settings.node, this->gate.Load());
+  if (now >= this->next_heartbeat) {
+    this->SendHeartbeats();
+  }
+  if (const auto peer = this->spread.PeerForList(now, this->platform_reached,
+                                                 this->FleetAddresses());
+      peer) {
+    this->links->RequestTicketItems(*peer, {});
+  }
+  this->CheckStopped();
+  this->tick_timer.expires_after(kTickInterval);
+  this->tick_timer.async_wait([this](const std::error_code& error) {
+    if (!error) {
+      this->Tick();
+    }
+  });
+}
+
+std::vector<NodeAddress> ProxyNode::FleetAddresses() const {
+  std::vector<NodeAddress> addresses;
+  for (const auto& [address, node] : this->fleet.All()) {
+    if (address != this->settings.node) {
+      addresses.push_back(address);
+    }
+  }
+  return addresses;
+}
+
+void ProxyNode::SendHeartbeats() {
+  this->next_heartbeat = this->Now() + kHeartbeatInterval;
+  std::vector<NodeAddress> waiting;
+  for (const auto& [attempt, from] : this->visit_origins) {
+    waiting.push_back(from);
+  }
+  const decision::Heartbeat heartbeat{.from = this->settings.node,
+                                      .incarnation = this->incarnation,
+                                      .state_digest = this->spread.Version(),
+                                      .load = this->gate.Load()};
+  for (const auto target :
+       this->spread.HeartbeatTargets(this->FleetAddresses(), waiting)) {
+    this->links->SendHeartbeat(target, heartbeat);
+  }
+}
+
+void ProxyNode::Stop() {
+  if (this->stopping_since) {
+    return;
+  }
+  Log(LogEvent::kStopping);
+  this->stopping_since = this->Now();
+  this->gate.StartLeaving(this->Now());
+  this->fleet.TakeLoad(this->Now(), this->settings.node, this->gate.Load());
+  this->callers->StartClosing();
+  this->SendHeartbeats();
+}
+
+void ProxyNode::CheckStopped() {
+  if (!this->stopping_since || this->stopped) {
+    return;
+  }
+  const auto elapsed = this->Now() - *this->stopping_since;
+  const bool is_idle =
+      this->origin.CallsInFlight() == 0 && this->gate.VisitsInFlight() == 0;
+  const auto leave_time = std::min(kLeaveTime, this->settings.stop_grace / 2);
+  const bool is_last_moment =
+      elapsed >= this->settings.stop_grace - kStopMargin;
+  if ((elapsed >= leave_time && is_idle) || is_last_moment) {
+    this->stopped = true;
+    this->callers->StopAccepting();
+    Log(LogEvent::kStopped);
+    this->on_stopped();
+  }
+}
+
+std::string ProxyNode::StateText() {
+  nlohmann::json nodes = nlohmann::json::array();
+  for (const auto& [address, node] : this->fleet.All()) {
+    nodes.push_back({{"node", address.ToString()},
+                     {"service", node.service},
+                     {"failure_domain", node.failure_domain},
+                     {"listed", node.listed},
+                     {"leaving", node.load.leaving || node.listed_as_leaving},
+                     {"backend_up", node.load.backend_up},
+                     {"running", node.load.running},
+                     {"queued", node.load.queued},
+                     {"limit", node.load.limit},
+                     {"in_flight", node.in_flight},
+                     {"losses", node.losses}});
+  }
+  const auto load = this->gate.Load();
+  const nlohmann::json state = {
+      {"configuration", this->spread.Version()},
+      {"endpoint_list", this->spread.ListRevision()},
+      {"platform_reached", this->platform_reached},
+      {"stopping", this->stopping_since.has_value()},
+      {"calls_in_flight", this->origin.CallsInFlight()},
+      {"gate",
+       {{"service", this->gate.Service()},
+        {"instance", this->gate.Entry() ? this->gate.Entry()->id : ""},
+        {"running", load.running},
+        {"queued", load.queued},
+        {"limit", load.limit},
+        {"backend_up", load.backend_up},
+        {"leaving", load.leaving},
+        {"failure_share", load.failure_share},
+        {"connections_made", this->pool->ConnectionsMade()}}},
+      {"nodes", nodes}};
+  return state.dump(1) + "\n";
+}
+
+}  // namespace agaterun::proxy
--- /dev/null
+++ b/libraries/proxy/proxy_node.h
@@ -0,0 +1,179 @@
+#ifndef LIBRARIES_PROXY_PROXY_NODE_H_
+#define LIBRARIES_PROXY_PROXY_NODE_H_
+
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "libraries/base/clock.h"
+#include "libraries/base/random.h"
+#include "libraries/base/settings.h"
+#include "libraries/calls/call_origin.h"
+#include "libraries/calls/dialect.h"
+#include "libraries/calls/visit_gate.h"
+#include "libraries/membership/directory_source.h"
+#include "libraries/membership/fleet.h"
+#include "libraries/membership/state_spread.h"
+#include "libraries/node/log_limiter.h"
+#include "libraries/node/node_links.h"
+#include "libraries/proxy/call_log.h"
+#include "libraries/proxy/endpoint_pool.h"
+#include "libraries/proxy/http_listener.h"
+#include "libraries/proxy/readiness_server.h"
+
+namespace agaterun::proxy {
+
+// One node beside a backend server, on a platform with a key-value store:
+// wires callers, other nodes, the backend server and the platform to the
+// decisions. Runs on the one thread of its io_context.
+class ProxyNode final : public RequestSink,
+                        public node::NodeObserver,
+                        public membership::DirectoryObserver,
+                        public EndpointObserver,
+                        public calls::OriginOutput,
+                        public calls::GateOutput {
+ public:
+  using SourceFactory =
+      std::function<std::unique_ptr<membership::DirectorySource>(
+          asio::io_context&,
+          RandomSource&,
+          membership::DirectoryObserver&)>;
+
+  // Opens every listener and starts to read the platform. `on_stopped` is
+  // called once a planned stop is complete. Fails with
+  // ErrorKind::kInputOutput.
+  static Result<std::unique_ptr<ProxyNode>> Create(
+      asio::io_context& io,
+      NodeSettings settings,
+      calls::Dialect dialect,
+      const SourceFactory& make_source,
+      std::function<void()> on_stopped);
+  ~ProxyNode() override;
+
+  // Asks for a planned stop: what is in flight ends, new requests are still
+  // taken until callers have had time to go elsewhere.
+  void Stop();
+
+  // Takes over what may change while the process runs.
+  void SetSettings(const NodeSettings& settings);
+
+  // RequestSink.
+  void OnRequest(decision::CallId call,
+                 HttpRequest request,
+                 NodeAddress caller) override;
+  void OnCallerGone(decision::CallId call) override;
+
+  // NodeObserver.
+  void OnVisit(NodeAddress from,
+               decision::VisitRequest visit,
+               HttpRequest request) override;
+  void OnVisitCancelled(decision::AttemptId attempt) override;
+  void OnReply(decision::VisitReply reply, decision::Answer answer) override;
+  void OnAttemptLost(decision::AttemptId attempt, bool sent) override;
+  void OnHeartbeat(decision::Heartbeat heartbeat) override;
+  void OnDigestSeen(NodeAddress peer, std::uint64_t digest) override;
+  void OnTicketItems(NodeAddress from,
+                     std::vector<decision::TicketItemText> items) override;
+  void OnTicketItemsWanted(
+      NodeAddress from,
+      std::vector<decision::TicketItemVersion> have) override;
+
+  // DirectoryObserver.
+  void OnConfiguration(
+      std::shared_ptr<const routing::Configuration> configuration,
+      std::string text) override;
+  void OnEndpointList(membership::EndpointList list) override;
+  void OnLocalEndpoint(membership::LocalEndpoint endpoint) override;
+  void OnPlatformReached(bool reached, std::string why) override;
+
+  // EndpointObserver.
+  void OnExchangeEnded(calls::VisitNumber visit,
+                       calls::ExchangeEnd end,
+                       decision::Answer answer) override;
+  void OnBackendReachable(bool reachable) override;
+
+  // OriginOutput.
+  void SendVisit(NodeAddress to,
+                 const decision::VisitRequest& visit,
+                 const calls::SharedRequest& request) override;
+  void CancelVisit(NodeAddress to, const decision::AttemptId& attempt) override;
+  void AnswerCaller(decision::CallId call,
+                    const HttpResponse& response,
+                    const HttpRequest& request,
+                    const calls::CallSummary& summary) override;
+
+  // GateOutput.
+  void StartExchange(calls::VisitNumber visit,
+                     const calls::SharedRequest& request,
+                     bool idempotent,
+                     const std::string& instance,
+                     Duration remaining) override;
+  void AbortExchange(calls::VisitNumber visit) override;
+  void SendReply(NodeAddress to,
+                 decision::VisitReply reply,
+                 decision::Answer answer) override;
+  void OnOtherInstance() override;
+  void ReportVisit(LogEvent event,
+                   const HttpRequest& request,
+                   decision::Reason reason,
+                   Duration elapsed) override;
+
+ private:
+  ProxyNode(asio::io_context& io,
+            NodeSettings settings,
+            calls::Dialect dialect,
+            std::function<void()> on_stopped);
+  Result<void> Open(const SourceFactory& make_source);
+
+  Instant Now() const { return this->clock.Now(); }
+  bool IsReady() const;
+  std::string StateText();
+  std::string RequestIdOf(const HttpRequest& request) const;
+  // Follows the entry at the backend server's address in the list.
+  void FollowLocalEntry();
+  void SetLocalEntry(std::optional<membership::EndpointEntry> entry);
+  // Waits for the earliest instant at which a decision is due.
+  void ArmWakeTimer();
+  void OnTick();
+  void Tick();
+  void CheckStopped();
+  void SendHeartbeats();
+  std::vector<NodeAddress> FleetAddresses() const;
+
+  asio::io_context& io;
+  NodeSettings settings;
+  calls::Dialect dialect;
+  std::function<void()> on_stopped;
+  MonotonicClock clock;
+  SystemRandom random;
+  std::uint64_t incarnation;
+  membership::Fleet fleet;
+  calls::VisitGate gate;
+  calls::CallOrigin origin;
+  CallLog call_log;
+  membership::StateSpread spread;
+  decision::CallId call_ids = 1;
+  std::unordered_map<decision::AttemptId, NodeAddress> visit_origins;
+  asio::steady_timer wake_timer;
+  asio::steady_timer tick_timer;
+  Instant armed_for = Instant::max();
+  Instant next_heartbeat{};
+  bool platform_reached = false;
+  std::optional<Instant> stopping_since;
+  bool stopped = false;
+
+  std::unique_ptr<node::NodeLinks> links;
+  std::unique_ptr<EndpointPool> pool;
+  std::unique_ptr<HttpListener> callers;
+  std::unique_ptr<ReadinessServer> readiness;
+  std::unique_ptr<membership::DirectorySource> source;
+};
+
+}  // namespace agaterun::proxy
+
+#endif  // LIBRARIES_PROXY_PROXY_NODE_H_
--- /dev/null
+++ b/libraries/proxy/readiness_server.cc
@@ -0,0 +1,57 @@
+#include "libraries/proxy/readiness_server.h"
+
+#include <utility>
+
+namespace agaterun::proxy {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+constexpr std::size_t kMostConnections = 64;
+
+HttpResponse TextResponse(int status, std::string body, const char* type) {
+  HttpResponse response{.status = status, .body = std::move(body)};
+  response.headers.push_back({"Content-Type", type});
+  return response;
+}
+
+}  // namespace
+
+ReadinessServer::ReadinessServer(asio::io_context& io,
+                                 Options options,
+                                 Source source)
+    : options(std::move(options)),
+      source(std::move(source)),
+      listener(io,
+               {.listen = this->options.listen,
+                .most_connections = kMostConnections},
+               this->call_ids,
+               *this) {}
+
+HttpResponse ReadinessServer::Respond(const HttpRequest& request) const {
+  if (request.target == this->options.readiness_path) {
+    return this->source.is_ready()
+               ? TextResponse(kOk, "ready\n", "text/plain")
+               : TextResponse(kUnavailable, "not ready\n", "text/plain");
+  }
+  if (request.target == "/metrics") {
+    return TextResponse(kOk, this->source.metrics(),
+                        "text/plain; version=0.0.4");
+  }
+  if (request.target == "/state") {
+    return TextResponse(kOk, this->source.state(), "application/json");
+  }
+  return TextResponse(kNotFound, "try /metrics or /state\n", "text/plain");
+}
+
+void ReadinessServer::OnRequest(decision::CallId call,
+                                HttpRequest request,
+                                NodeAddress /*caller*/) {
+  this->listener.Answer(call, this->Respond(request));
+}
+
+void ReadinessServer::OnCallerGone(decision::CallId /*call*/) {}
+
+}  // namespace agaterun::proxy
--- /dev/null
+++ b/libraries/proxy/readiness_server.h
@@ -0,0 +1,49 @@
+#ifndef LIBRARIES_PROXY_READINESS_SERVER_H_
+#define LIBRARIES_PROXY_READINESS_SERVER_H_
+
+#include <asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "libraries/proxy/http_listener.h"
+
+namespace agaterun::proxy {
+
+// Answers whether this process takes requests, and shows its counters and
+// state to operators, all by GET.
+class ReadinessServer : private RequestSink {
+ public:
+  struct Options {
+    NodeAddress listen;
+    std::string readiness_path;  // 200 when ready, else 503.
+  };
+
+  // What the server shows; called for each request.
+  struct Source {
+    std::function<bool()> is_ready;
+    std::function<std::string()> metrics;  // Prometheus text.
+    std::function<std::string()> state;    // JSON, for people.
+  };
+
+  ReadinessServer(asio::io_context& io, Options options, Source source);
+
+  // Fails with ErrorKind::kInputOutput.
+  Result<void> Listen() { return this->listener.Listen(); }
+
+ private:
+  void OnRequest(decision::CallId call,
+                 HttpRequest request,
+                 NodeAddress caller) override;
+  void OnCallerGone(decision::CallId call) override;
+  HttpResponse Respond(const HttpRequest& request) const;
+
+  Options options;
+  Source source;
+  decision::CallId call_ids = 1;
+  HttpListener listener;
+};
+
+}  // namespace agaterun::proxy
+
+#endif  // LIBRARIES_PROXY_READINESS_SERVER_H_
--- /dev/null
+++ b/libraries/routing/endpoint_chooser.h
@@ -0,0 +1,52 @@
+#ifndef LIBRARIES_ROUTING_ENDPOINT_CHOOSER_H_
+#define LIBRARIES_ROUTING_ENDPOINT_CHOOSER_H_
+
+#include <optional>
+#include <span>
+#include <string_view>
+
+#include "libraries/base/random.h"
+#include "libraries/membership/fleet.h"
+
+namespace agaterun::routing {
+
+// Chooses the node that gets the next request of a service: the one with the
+// least expected time until its answer.
+class EndpointChooser {
+ public:
+  struct Options {
+    NodeAddress self;
+    std::string failure_domain;
+  };
+
+  // Both outlive the chooser.
+  EndpointChooser(Options options,
+                  membership::Fleet& fleet,
+                  RandomSource& random)
+      : options(std::move(options)), fleet(fleet), random(random) {}
+
+  // Nothing when no node of the service may be used. `needs_room` leaves out
+  // those whose slots are taken.
+  std::optional<NodeAddress> Choose(Instant now,
+                                    std::string_view service,
+                                    std::span<const NodeAddress> excluded,
+                                    bool needs_room);
+
+  // Free slots of the service, as far as known: negative when more requests
+  // wait than slots are free.
+  double FreeSlots(Instant now, std::string_view service);
+
+ private:
+  bool MayUse(Instant now, const membership::FleetNode& node) const;
+  double CostOf(Instant now,
+                const membership::FleetNode& node,
+                double typical) const;
+
+  Options options;
+  membership::Fleet& fleet;
+  RandomSource& random;
+};
+
+}  // namespace agaterun::routing
+
+#endif  // LIBRARIES_ROUTING_ENDPOINT_CHOOSER_H_
--- /dev/null
+++ b/libraries/routing/share_picker.cc
@@ -0,0 +1,52 @@
+#include "libraries/routing/share_picker.h"
+
+#include <cmath>
+#include <cstddef>
+
+namespace agaterun::routing {
+
+namespace {
+
+// Multiples of the golden ratio fill [0, 1) evenly from any start: any run of
+// requests is divided almost exactly by the weights.
+constexpr double kGoldenRatio = 0.6180339887498949;
+
+constexpr std::size_t kMostRoutes = 16384;
+
+}  // namespace
+
+const std::string* SharePicker::Pick(const Route& route) {
+  double total = 0;
+  for (const auto& share : route.services) {
+    total += share.weight;
+  }
+  if (total <= 0) {
+    return nullptr;
+  }
+  if (route.services.size() == 1) {
+    return &route.services.front().service;
+  }
+  if (this->positions.size() > kMostRoutes) {
+    this->positions.clear();
+  }
+  // Each node begins elsewhere, or all would begin with the same service.
+  const auto [entry, is_new] = this->positions.try_emplace(route.name, 0.0);
+  double& position = entry->second;
+  position =
+      is_new ? this->random.Unit() : std::fmod(position + kGoldenRatio, 1.0);
+  double rest = position * total;
+  const ServiceShare* last = nullptr;
+  for (const auto& share : route.services) {
+    if (share.weight <= 0) {
+      continue;
+    }
+    last = &share;
+    rest -= share.weight;
+    if (rest < 0) {
+      break;
+    }
+  }
+  return &last->service;
+}
+
+}  // namespace agaterun::routing
--- a/services/agaterund/main.cc
+++ b/services/agaterund/main.cc
@@ -5,9 +5,8 @@
 #include <atomic>
 #include <csignal>
 #include <cstdio>
-#include <fstream>
+#include <cstdlib>
 #include <memory>
-#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -15,6 +14,8 @@
 #include "libraries/base/log.h"
 #include "libraries/base/settings.h"
 #include "libraries/driver/node_driver.h"
+#include "services/agaterund/settings_file.h"
+#include "services/agaterund/store_mode.h"
 
 namespace agaterun {
 
@@ -27,6 +28,9 @@
   kBadSettings = 3,
 };
 
+// Names the settings file when the command line does not.
+constexpr const char* kSettingsVariable = "AGATERUN_CONFIG";
+
 struct Arguments {
   std::string settings_file;
   bool check_only = false;
@@ -59,27 +63,28 @@
     std::puts("agaterund " AGATERUN_VERSION);
     return kSuccess;
   }
-  if (file == nullptr) {
-    std::fputs("agaterund: name a settings file with --settings FILE\n",
-               stderr);
+  const char* named = file != nullptr ? file : std::getenv(kSettingsVariable);
+  if (named == nullptr) {
+    std::fprintf(stderr,
+                 "agaterund: name a settings file with --settings FILE or in "
+                 "%s\n",
+                 kSettingsVariable);
     return kUsage;
   }
-  arguments.settings_file = file;
+  arguments.settings_file = named;
   std::free(file);  // NOLINT(cppcoreguidelines-no-malloc): popt allocates it.
   arguments.check_only = check != 0;
   return std::nullopt;
 }
 
 std::optional<NodeSettings> ReadSettings(const std::string& path) {
-  std::ifstream file(path);
-  if (!file) {
+  const auto text = ReadSettingsText(path);
+  if (!text) {
     std::fprintf(stderr, "agaterund: can't read %s; check its name\n",
                  path.c_str());
     return std::nullopt;
   }
-  std::stringstream text;
-  text << file.rdbuf();
-  auto settings = ParseSettings(text.str());
+  auto settings = ParseSettings(*text);
   if (!settings) {
     for (const auto& fault : settings.error()) {
       std::fprintf(stderr, "%s\n", Describe(fault, path).c_str());
@@ -160,6 +165,9 @@
     std::puts("settings are right");
     return kSuccess;
   }
+  if (settings->platform_interface == PlatformInterface::kStore) {
+    return ServeWithStore(*settings, arguments.settings_file);
+  }
   return Serve(std::move(*settings));
 }
 
