Admission: Begin what fits, by demand of the whole fleet per route

Demand counted per service refused audio that needed no full service.

Change: answers carry the slot time that each service spent on the request; each node tells how many requests of each route and rank its callers sent, and all hold the sum against the slots of every service on the path, most important ranks first. Nested calls are found by the id that they extend and keep the importance of their tree.

--- /dev/null
+++ b/libraries/admission/entry_admission.cc
@@ -0,0 +1,270 @@
+#include "libraries/admission/entry_admission.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace agaterun::admission {
+
+namespace {
+
+using decision::DemandRank;
+using decision::kDemandRanks;
+using decision::RouteDemand;
+using decision::Standing;
+
+// Length of a slice; kSlices of them are what demand is averaged over.
+constexpr Duration kSlice = 100ms;
+
+// Part of the slots that requests are admitted for. The rest is for chance:
+// arrivals come in clumps, and service times differ.
+constexpr double kUsedShare = 0.9;
+
+// Less slot time is taken for a route's mistaken visit to a service.
+constexpr Duration kLeastSlotTime = 500us;
+
+// Demand of a node that was not heard since is forgotten.
+constexpr Duration kPeerDemandTrusted = 1500ms;
+
+// A caller who comes back sooner did not wait as told.
+constexpr Duration kShortestRetryAfter = 200ms;
+
+// A caller uses at most this part of its time for a wait.
+constexpr int kWaitParts = 3;
+
+// Callers of whom so little of the time is gone came for the first time.
+constexpr Duration kFirstAttempt = 20ms;
+
+constexpr std::size_t kMostRoutes = 4096;
+constexpr std::size_t kMostToldRoutes = 128;
+constexpr double kThousand = 1000;
+
+}  // namespace
+
+void EntryAdmission::Meter::Advance(Instant now) {
+  const auto slice = now / kSlice;
+  if (this->first < 0) {
+    this->first = slice;
+    this->current = slice;
+  }
+  const auto steps =
+      std::min<std::int64_t>(slice - this->current, std::int64_t{kSlices});
+  for (std::int64_t step = 1; step <= steps; ++step) {
+    const auto index = static_cast<std::size_t>(
+        (slice - steps + step) % static_cast<std::int64_t>(kSlices));
+    this->slices[index] = {};
+  }
+  this->current = std::max(this->current, slice);
+}
+
+void EntryAdmission::Meter::Add(Instant now, int rank) {
+  this->Advance(now);
+  const auto index = static_cast<std::size_t>(
+      this->current % static_cast<std::int64_t>(kSlices));
+  this->slices[index][static_cast<std::size_t>(rank)] += 1;
+}
+
+EntryAdmission::Ranks EntryAdmission::Meter::Rate(Instant now) {
+  this->Advance(now);
+  Ranks sum{};
+  for (const auto& slice : this->slices) {
+    for (std::size_t rank = 0; rank < sum.size(); ++rank) {
+      sum[rank] += slice[rank];
+    }
+  }
+  // A meter that has just begun has seen less than its whole time.
+  const auto whole = std::min<std::int64_t>(this->current - this->first,
+                                            std::int64_t{kSlices} - 1);
+  const auto seen = kSlice * whole + now % kSlice;
+  const double seconds = std::max(ToSeconds(seen), ToSeconds(kSlice));
+  for (auto& value : sum) {
+    value /= seconds;
+  }
+  return sum;
+}
+
+double EntryAdmission::ShareOf(std::string_view route, int rank) const {
+  const auto found = this->admitted.find(route);
+  return found == this->admitted.end()
+             ? 1
+             : found->second.shares[static_cast<std::size_t>(rank)];
+}
+
+Standing EntryAdmission::StandingOf(const Request& request,
+                                    const RouteCosts::Costs& known) const {
+  if (!request.deadline) {
+    return Standing::kNew;
+  }
+  const auto gone = known.longest_deadline - *request.deadline;
+  if (gone < kFirstAttempt) {
+    return Standing::kNew;
+  }
+  const bool waited = gone >= kShortestRetryAfter;
+  const bool in_time = gone + known.latency <= request.target_latency;
+  return waited && in_time ? Standing::kReturned : Standing::kLate;
+}
+
+Duration EntryAdmission::RetryAfter(const Request& request,
+                                    const RouteCosts::Costs& known) {
+  // Spread over the time in which a return can still be in time, so that
+  // returns come neither together nor too late.
+  const auto latest = request.target_latency - known.latency;
+  auto most = std::max(latest, 2 * kShortestRetryAfter);
+  if (request.deadline) {
+    most = std::min(most, *request.deadline / kWaitParts);
+  }
+  const auto span = std::max(Duration{}, most - kShortestRetryAfter);
+  return kShortestRetryAfter +
+         std::chrono::duration_cast<Duration>(span * this->random.Unit());
+}
+
+EntryAdmission::Verdict EntryAdmission::Decide(Instant now,
+                                               const Request& request) {
+  if (request.deadline) {
+    this->costs.NoteDeadline(request.route, *request.deadline);
+  }
+  const auto* known = this->costs.Find(request.route);
+  if (known == nullptr) {
+    return {};
+  }
+  Verdict verdict{.standing = this->StandingOf(request, *known)};
+  const auto rank = DemandRank(request.importance, verdict.standing);
+  auto meter = this->own.find(request.route);
+  if (meter == this->own.end()) {
+    meter = this->own.emplace(std::string(request.route), Meter()).first;
+  }
+  meter->second.Add(now, rank);
+  const double share = this->ShareOf(request.route, rank);
+  if (share >= 1) {
+    return verdict;
+  }
+  if (this->owed.size() > kMostRoutes) {
+    this->owed.clear();
+  }
+  const auto [entry, is_new] =
+      this->owed.try_emplace(std::string(request.route));
+  auto& part = entry->second[static_cast<std::size_t>(rank)];
+  if (is_new) {
+    part = this->random.Unit();
+  }
+  part += share;
+  if (part >= 1) {
+    part -= 1;
+    return verdict;
+  }
+  verdict.admitted = false;
+  verdict.service = this->admitted.find(request.route)->second.service;
+  verdict.retry_after = this->RetryAfter(request, *known);
+  return verdict;
+}
+
+void EntryAdmission::Learn(std::string_view route,
+                           const std::vector<decision::ServiceCost>& sample,
+                           Duration latency) {
+  this->costs.Learn(route, sample, latency);
+}
+
+void EntryAdmission::SetPeerDemand(Instant now,
+                                   NodeAddress peer,
+                                   std::vector<RouteDemand> demand) {
+  this->peers[peer] = {.told = now, .demand = std::move(demand)};
+}
+
+std::vector<RouteDemand> EntryAdmission::OwnDemand(Instant now) {
+  std::vector<RouteDemand> demand;
+  for (auto& [route, meter] : this->own) {
+    const auto rate = meter.Rate(now);
+    RouteDemand entry{.route = route};
+    for (std::size_t rank = 0; rank < rate.size(); ++rank) {
+      entry.thousandths[rank] =
+          static_cast<std::uint32_t>(rate[rank] * kThousand);
+    }
+    const bool is_asked_for =
+        std::any_of(rate.begin(), rate.end(), [](double r) { return r > 0; });
+    if (is_asked_for && demand.size() < kMostToldRoutes) {
+      demand.push_back(std::move(entry));
+    }
+  }
+  return demand;
+}
+
+EntryAdmission::Demand EntryAdmission::TotalDemand(Instant now,
+                                                   double heard_share) {
+  std::erase_if(this->peers, [&](const auto& item) {
+    return now - item.second.told > kPeerDemandTrusted;
+  });
+  Demand total;
+  for (auto& [route, meter] : this->own) {
+    total[route] = meter.Rate(now);
+  }
+  for (const auto& [node, peer] : this->peers) {
+    for (const auto& [route, thousandths] : peer.demand) {
+      auto& ranks = total[route];
+      for (std::size_t rank = 0; rank < ranks.size(); ++rank) {
+        ranks[rank] += thousandths[rank] / kThousand / heard_share;
+      }
+    }
+  }
+  return total;
+}
+
+void EntryAdmission::AdmitRank(const Demand& demand,
+                               std::size_t rank,
+                               Slots& left) {
+  Slots wanted;
+  const auto for_each = [&](const auto& visit) {
+    for (const auto& [route, ranks] : demand) {
+      const auto* known = this->costs.Find(route);
+      if (known != nullptr && ranks[rank] > 0) {
+        visit(route, ranks[rank], known->services);
+      }
+    }
+  };
+  for_each(
+      [&](const std::string& /*route*/, double rate, const auto& services) {
+        for (const auto& [service, slot_time] : services) {
+          wanted[service] += rate * ToSeconds(slot_time);
+        }
+      });
+  Slots used;
+  for_each([&](const std::string& route, double rate, const auto& services) {
+    auto& entry = this->admitted[route];
+    double share = 1;
+    for (const auto& [service, slot_time] : services) {
+      const auto room = left.find(service);
+      const double part = room == left.end() || wanted[service] <= room->second
+                              ? 1
+                              : room->second / wanted[service];
+      // A service that this route hardly uses does not hold it back.
+      if (part < share && slot_time > kLeastSlotTime) {
+        share = part;
+        entry.service = service;
+      }
+    }
+    entry.shares[rank] = share;
+    for (const auto& [service, slot_time] : services) {
+      used[service] += share * rate * ToSeconds(slot_time);
+    }
+  });
+  for (auto& [service, slots] : left) {
+    slots = std::max(0.0, slots - used[service]);
+  }
+}
+
+void EntryAdmission::Update(Instant now, double heard_share) {
+  const auto demand = this->TotalDemand(now, heard_share);
+  Slots left;
+  for (const auto& [service, slots] : this->capacity) {
+    // A service of which no node can be used has no room at all: what needs it
+    // would only waste the slots of others.
+    left[service] = slots * kUsedShare;
+  }
+  this->admitted.clear();
+  for (const auto& [route, ranks] : demand) {
+    this->admitted[route].shares.fill(1);
+  }
+  for (std::size_t rank = 0; rank < kDemandRanks; ++rank) {
+    this->AdmitRank(demand, rank, left);
+  }
+}
+
+}  // namespace agaterun::admission
--- /dev/null
+++ b/libraries/admission/route_costs.cc
@@ -0,0 +1,70 @@
+#include "libraries/admission/route_costs.h"
+
+#include <algorithm>
+
+namespace agaterun::admission {
+
+namespace {
+
+// Weight of the latest request in the means.
+constexpr double kWeight = 0.05;
+
+constexpr std::size_t kMostRoutes = 4096;
+constexpr std::size_t kMostServices = 64;
+
+Duration Blend(Duration mean, Duration sample) {
+  return mean + std::chrono::duration_cast<Duration>((sample - mean) * kWeight);
+}
+
+}  // namespace
+
+RouteCosts::Costs* RouteCosts::At(std::string_view route) {
+  const std::string name(route);
+  if (const auto found = this->routes.find(name); found != this->routes.end()) {
+    return &found->second;
+  }
+  if (this->routes.size() >= kMostRoutes) {
+    this->routes.clear();
+  }
+  return &this->routes[name];
+}
+
+void RouteCosts::Learn(std::string_view route,
+                       const std::vector<decision::ServiceCost>& sample,
+                       Duration latency) {
+  auto& costs = *this->At(route);
+  const bool is_first = costs.latency == Duration{};
+  costs.latency = is_first ? latency : Blend(costs.latency, latency);
+  for (auto& known : costs.services) {
+    const auto found = std::find_if(sample.begin(), sample.end(),
+                                    [&](const decision::ServiceCost& cost) {
+                                      return cost.service == known.service;
+                                    });
+    known.slot_time = Blend(
+        known.slot_time, found == sample.end() ? Duration{} : found->slot_time);
+  }
+  for (const auto& cost : sample) {
+    const bool is_known = std::any_of(
+        costs.services.begin(), costs.services.end(),
+        [&](const auto& known) { return known.service == cost.service; });
+    if (!is_known && costs.services.size() < kMostServices) {
+      auto added = cost;
+      if (!is_first) {
+        added.slot_time = Blend(Duration{}, cost.slot_time);
+      }
+      costs.services.push_back(std::move(added));
+    }
+  }
+}
+
+void RouteCosts::NoteDeadline(std::string_view route, Duration left) {
+  auto& costs = *this->At(route);
+  costs.longest_deadline = std::max(costs.longest_deadline, left);
+}
+
+const RouteCosts::Costs* RouteCosts::Find(std::string_view route) const {
+  const auto found = this->routes.find(std::string(route));
+  return found == this->routes.end() ? nullptr : &found->second;
+}
+
+}  // namespace agaterun::admission
--- a/libraries/calls/call_origin.cc
+++ b/libraries/calls/call_origin.cc
@@ -40,6 +40,9 @@
 // While nothing is known of the fleet.
 constexpr Duration kStartRetryAfter = 300ms;
 
+// Share of failures of a service above which nested calls are not repeated.
+constexpr double kMostFailing = 0.25;
+
 // What is left must be enough for another attempt to make sense.
 constexpr Duration kLeastForRepeat = 50ms;
 
@@ -97,45 +100,42 @@
                .failure_domain = this->options.failure_domain},
               fleet,
               random),
-      budget(this->options.repeats) {}
+      budget(this->options.repeats),
+      admission(random) {}
 
 void CallOrigin::AnswerNow(Instant /*now*/,
                            CallId id,
                            const HttpRequest& request,
-                           bool nested,
                            int status,
                            Reason reason) {
   const auto retry_after =
       status == kUnavailable ? kStartRetryAfter : Duration{};
-  this->output.AnswerCaller(
-      id, OwnAnswer(status, reason, retry_after), request,
-      {.status = status, .reason = reason, .nested = nested});
+  this->output.AnswerCaller(id, OwnAnswer(status, reason, retry_after), request,
+                            {.status = status, .reason = reason});
 }
 
 void CallOrigin::OnRequest(Instant now,
                            CallId id,
                            HttpRequest request,
-                           bool nested) {
+                           const std::optional<VisitGate::Parent>& parent) {
   if (!this->routes) {
-    this->AnswerNow(now, id, request, nested, kUnavailable,
-                    Reason::kWaitingForState);
+    this->AnswerNow(now, id, request, kUnavailable, Reason::kWaitingForState);
     return;
   }
   const auto* host = FindHeader(request.headers, "Host");
   const auto* route =
       host == nullptr ? nullptr : this->routes->Find(*host, request.target);
   if (route == nullptr) {
-    this->AnswerNow(now, id, request, nested, kNotFound, Reason::kNoSuchRoute);
+    this->AnswerNow(now, id, request, kNotFound, Reason::kNoSuchRoute);
     return;
   }
   if (FindHeader(request.headers, this->dialect.request_id) == nullptr) {
-    this->AnswerNow(now, id, request, nested, kBadRequest, Reason::kMalformed);
+    this->AnswerNow(now, id, request, kBadRequest, Reason::kMalformed);
     return;
   }
   const auto* service = this->shares.Pick(*route);
   if (service == nullptr) {
-    this->AnswerNow(now, id, request, nested, kUnavailable,
-                    Reason::kNoSuchService);
+    this->AnswerNow(now, id, request, kUnavailable, Reason::kNoSuchService);
     return;
   }
   const auto given =
@@ -146,7 +146,7 @@
   RemoveHeader(request.headers, this->dialect.expected_instance);
   request.headers.push_back(
       {this->dialect.caller_service, this->options.service});
-  if (!nested) {
+  if (!parent) {
     this->budget.AddRequest(now, *service);
   }
   Call call{.id = id,
@@ -156,15 +156,47 @@
             .service = *service,
             .arrived = now,
             .deadline = now + limit,
-            .nested = nested};
+            .parent = parent,
+            .importance =
+                parent ? parent->importance : ImportanceOf(route->priority)};
   this->deadlines.emplace(call.deadline, id);
   auto& stored = this->calls.emplace(id, std::move(call)).first->second;
+  if (!parent && this->Shed(now, stored, given)) {
+    return;
+  }
   this->Dispatch(now, stored, /*needs_room=*/false);
 }
 
+bool CallOrigin::Shed(Instant now, Call& call, std::optional<Duration> given) {
+  const auto verdict =
+      this->admission.Decide(now, {.route = call.route->name,
+                                   .importance = call.importance,
+                                   .target_latency = call.route->target_latency,
+                                   .deadline = given});
+  call.returning = verdict.standing == decision::Standing::kReturned;
+  if (verdict.admitted) {
+    return false;
+  }
+  call.reason = Reason::kOverloaded;
+  call.full_service = verdict.service;
+  this->Finish(now, call,
+               OwnAnswer(kUnavailable, call.reason, verdict.retry_after),
+               call.reason);
+  return true;
+}
+
+void CallOrigin::UpdateAdmission(Instant now, double heard_share) {
+  std::map<std::string, double, std::less<>> slots;
+  for (const auto& service : this->fleet.Services()) {
+    slots[service] = this->chooser.UsableSlots(now, service);
+  }
+  this->admission.SetCapacity(std::move(slots));
+  this->admission.Update(now, heard_share);
+}
+
 Duration CallOrigin::PatienceOf(Instant now, const Call& call) const {
   const auto target = call.route->target_latency;
-  const auto parts = call.nested ? kNestedPatienceParts : kPatienceParts;
+  const auto parts = call.parent ? kNestedPatienceParts : kPatienceParts;
   const auto waited = now - call.arrived;
   const auto left = target / parts - waited;
   return std::clamp(left, Duration{},
@@ -200,10 +232,10 @@
                            .service = call.service,
                            .route = call.route->name,
                            .remaining = call.deadline - now,
-                           .importance = ImportanceOf(call.route->priority),
+                           .importance = call.importance,
                            .idempotent = call.route->IsIdempotent(),
                            .fingerprint = FingerprintOf(*call.request),
-                           .nested = call.nested,
+                           .nested = call.parent.has_value(),
                            .returning = call.returning,
                            .patience = this->PatienceOf(now, call)};
   this->output.SendVisit(node, visit, call.request);
@@ -233,7 +265,14 @@
   this->fleet.AttemptReplied(now, from, failed);
   call->attempt.reset();
   call->offered += reply.offered ? 1 : 0;
+  if (call->parent && !reply.costs.empty()) {
+    this->output.NestedCallEnded(call->parent->visit, reply.costs);
+  }
   if (reply.outcome == Outcome::kCompleted && answer != nullptr) {
+    if (!call->parent && answer->status < kServerErrors) {
+      this->admission.Learn(call->route->name, reply.costs,
+                            now - call->arrived);
+    }
     // A leaf that failed may do better elsewhere; one with calls of its own
     // has most likely failed by them.
     if (answer->status >= kServerErrors && call->route->IsIdempotent() &&
@@ -272,6 +311,12 @@
 }
 
 bool CallOrigin::MayRepeat(Instant now, Call& call, double cost) {
+  // A call of a larger tree is one of several; where many fail, the others
+  // would fail as well, and the budget does more for whole requests.
+  if (call.parent &&
+      this->chooser.FailureShare(now, call.service) > kMostFailing) {
+    return false;
+  }
   return call.offered < call.route->most_endpoints &&
          call.deadline - now > kLeastForRepeat &&
          this->budget.Take(now, call.service, cost);
@@ -285,7 +330,7 @@
   switch (reply.reason) {
     case Reason::kOverloaded:
       // Another endpoint may have room where this one has none.
-      this->Dispatch(now, call, /*needs_room=*/!call.nested);
+      this->Dispatch(now, call, /*needs_room=*/!call.parent);
       return;
     case Reason::kBackendRejected:
       if (!this->MayRepeat(now, call, 1)) {
@@ -425,11 +470,12 @@
                         Reason reason) {
   const CallSummary summary{.route = call.route->name,
                             .service = call.service,
+                            .full_service = call.full_service,
                             .status = response.status,
                             .reason = reason,
                             .attempts = static_cast<int>(call.attempts),
                             .elapsed = now - call.arrived,
-                            .nested = call.nested,
+                            .nested = call.parent.has_value(),
                             .last_node = call.last_node};
   const auto [first, last] = this->deadlines.equal_range(call.deadline);
   for (auto entry = first; entry != last; ++entry) {
--- a/libraries/calls/call_origin.h
+++ b/libraries/calls/call_origin.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "libraries/admission/entry_admission.h"
 #include "libraries/base/http_message.h"
 #include "libraries/base/random.h"
 #include "libraries/calls/dialect.h"
@@ -26,6 +27,7 @@
 struct CallSummary {
   std::string route;
   std::string service;
+  std::string full_service;  // That had no room, when refused at the entry.
   int status = 0;
   decision::Reason reason = decision::Reason::kNone;
   int attempts = 0;
@@ -43,6 +45,10 @@
                          const SharedRequest& request) = 0;
   virtual void CancelVisit(NodeAddress to,
                            const decision::AttemptId& attempt) = 0;
+  // A call of the visit has ended and took this much below it.
+  virtual void NestedCallEnded(
+      VisitNumber parent,
+      const std::vector<decision::ServiceCost>& costs) = 0;
   virtual void AnswerCaller(decision::CallId call,
                             const HttpResponse& response,
                             const HttpRequest& request,
@@ -79,11 +85,11 @@
   }
   void SetFleetSize(int nodes) { this->budget.SetFleetSize(nodes); }
 
-  // `nested` for a call of the local backend server.
+  // `parent` for a call of a request that the local backend server runs.
   void OnRequest(Instant now,
                  decision::CallId call,
                  HttpRequest request,
-                 bool nested);
+                 const std::optional<VisitGate::Parent>& parent);
   void OnCallerGone(Instant now, decision::CallId call);
   void OnReply(Instant now,
                const decision::VisitReply& reply,
@@ -95,6 +101,10 @@
   void OnTick(Instant now);
   std::optional<Instant> NextWake() const;
 
+  admission::EntryAdmission& Admission() { return this->admission; }
+  // Holds demand against the slots that can be used now.
+  void UpdateAdmission(Instant now, double heard_share);
+
   std::size_t CallsInFlight() const { return this->calls.size(); }
 
  private:
@@ -112,7 +122,8 @@
     std::string service;
     Instant arrived{};
     Instant deadline{};  // For the final answer.
-    bool nested = false;
+    std::optional<VisitGate::Parent> parent;
+    decision::Importance importance = decision::Importance::kNormal;
     bool returning = false;
     bool may_have_run = false;
     int offered = 0;  // Endpoints that were handed the request.
@@ -121,6 +132,7 @@
     std::optional<Attempt> attempt;
     decision::Reason reason = decision::Reason::kNone;
     Duration retry_after{};
+    std::string full_service;
     NodeAddress last_node;
   };
 
@@ -128,7 +140,6 @@
   void AnswerNow(Instant now,
                  decision::CallId id,
                  const HttpRequest& request,
-                 bool nested,
                  int status,
                  decision::Reason reason);
   // Sends the call to a node that it has not been to, or ends it.
@@ -139,6 +150,8 @@
   void TakeUnknown(Instant now, Call& call, decision::Reason reason);
   bool MayRepeat(Instant now, Call& call, double cost);
   double RepeatCost(Instant now, const Call& call);
+  // Refuses the call when there is no room for what it causes.
+  bool Shed(Instant now, Call& call, std::optional<Duration> given);
   Duration PatienceOf(Instant now, const Call& call) const;
   void Refuse(Instant now, Call& call);
   void GiveUp(Instant now, Call& call);
@@ -157,6 +170,7 @@
   routing::SharePicker shares;
   routing::EndpointChooser chooser;
   retries::RepeatBudget budget;
+  admission::EntryAdmission admission;
   std::unordered_map<decision::CallId, Call> calls;
   std::multimap<Instant, decision::CallId> deadlines;
 };
--- a/libraries/calls/visit_gate.cc
+++ b/libraries/calls/visit_gate.cc
@@ -11,6 +11,7 @@
 using decision::LoadReport;
 using decision::Outcome;
 using decision::Reason;
+using decision::ServiceCost;
 using decision::VisitReply;
 using decision::VisitRequest;
 
@@ -30,15 +31,30 @@
 
 constexpr int kServerErrors = 500;
 
-// Requests of trees that have begun go before those that begin one, but for
-// the most important of these.
+// Between the id of a request and what a call of it adds.
+constexpr char kIdSeparator = '.';
+
+void AddCost(std::vector<ServiceCost>& costs,
+             std::string_view service,
+             Duration slot_time) {
+  for (auto& known : costs) {
+    if (known.service == service) {
+      known.slot_time += slot_time;
+      return;
+    }
+  }
+  costs.push_back({.service = std::string(service), .slot_time = slot_time});
+}
+
+// Of one importance, calls of trees that have begun go before requests that
+// begin one.
 int RankOf(const VisitRequest& request) {
-  constexpr int kNestedRank = 1;
-  const int importance = static_cast<int>(request.importance);
+  constexpr int kRanksOfImportance = 3;
+  const int first = static_cast<int>(request.importance) * kRanksOfImportance;
   if (request.nested) {
-    return std::min(importance, kNestedRank) * 2;
+    return first;
   }
-  return importance * 2 + (request.returning ? 0 : 1);
+  return first + (request.returning ? 1 : 2);
 }
 
 }  // namespace
@@ -90,11 +106,17 @@
   }
   const auto number = this->next_number++;
   this->by_attempt.emplace(request.attempt, number);
-  this->visits.emplace(number, Visit{.from = from,
-                                     .request = request,
-                                     .http = std::move(http),
-                                     .arrived = now,
-                                     .deadline = now + request.remaining});
+  Visit arrived{.from = from,
+                .request = request,
+                .http = std::move(http),
+                .arrived = now,
+                .deadline = now + request.remaining};
+  if (const auto* id =
+          FindHeader(arrived.http->headers, this->dialect.request_id);
+      id != nullptr) {
+    arrived.request_id = *id;
+  }
+  this->visits.emplace(number, std::move(arrived));
   auto reason = this->Closed();
   if (request.service != this->options.service) {
     reason = Reason::kNoSuchService;
@@ -125,6 +147,7 @@
   }
   visit.running = true;
   visit.started = now;
+  this->by_request_id[visit.request_id] = number;
   this->queue.Started();
   this->started_visits += 1;
   if (this->started_visits > kCountedVisits) {
@@ -162,7 +185,8 @@
                       Outcome outcome,
                       Reason reason,
                       bool offered,
-                      Answer answer) {
+                      Answer answer,
+                      std::vector<ServiceCost> costs) {
   if (visit.replied) {
     return;
   }
@@ -170,7 +194,8 @@
                    .outcome = outcome,
                    .reason = reason,
                    .load = this->Load(),
-                   .offered = offered};
+                   .offered = offered,
+                   .costs = std::move(costs)};
   if (reason == Reason::kOverloaded) {
     constexpr int kLastRank = 1000;
     reply.retry_after = this->queue.ExpectedWait(kLastRank);
@@ -181,9 +206,46 @@
 void VisitGate::End(VisitNumber number) {
   const auto found = this->visits.find(number);
   this->by_attempt.erase(found->second.request.attempt);
+  if (const auto named = this->by_request_id.find(found->second.request_id);
+      named != this->by_request_id.end() && named->second == number) {
+    this->by_request_id.erase(named);
+  }
   this->visits.erase(found);
 }
 
+std::optional<VisitGate::Parent> VisitGate::FindParent(
+    std::string_view request_id) const {
+  const auto last = request_id.rfind(kIdSeparator);
+  if (last == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const auto found =
+      this->by_request_id.find(std::string(request_id.substr(0, last)));
+  if (found == this->by_request_id.end()) {
+    return std::nullopt;
+  }
+  const auto& visit = this->visits.at(found->second);
+  return Parent{.visit = found->second, .importance = visit.request.importance};
+}
+
+void VisitGate::AddCosts(VisitNumber number,
+                         const std::vector<ServiceCost>& costs) {
+  const auto found = this->visits.find(number);
+  if (found == this->visits.end()) {
+    return;
+  }
+  for (const auto& cost : costs) {
+    AddCost(found->second.costs, cost.service, cost.slot_time);
+  }
+}
+
+std::vector<ServiceCost> VisitGate::CostsOf(Instant now,
+                                            const Visit& visit) const {
+  auto costs = visit.costs;
+  AddCost(costs, this->options.service, now - visit.started);
+  return costs;
+}
+
 void VisitGate::OnCancelled(Instant now, const decision::AttemptId& attempt) {
   const auto found = this->by_attempt.find(attempt);
   if (found == this->by_attempt.end()) {
@@ -221,7 +283,7 @@
       this->NoteResult(answer->status >= kServerErrors);
       this->queue.Ended(now - visit.started);
       this->Reply(visit, Outcome::kCompleted, Reason::kNone, true,
-                  std::move(answer));
+                  std::move(answer), this->CostsOf(now, visit));
       return;
     case AnswerClass::kNotRun:
       this->NoteResult(true);
--- a/libraries/calls/visit_gate.h
+++ b/libraries/calls/visit_gate.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -96,7 +97,19 @@
   void OnTick(Instant now);
   std::optional<Instant> NextWake() const;
 
-  // A call of the backend server itself came out.
+  // The running request from which a call of the backend server with this id
+  // came out, or nothing when it came from elsewhere. Such an id extends the
+  // id of the request that it belongs to.
+  struct Parent {
+    VisitNumber visit = 0;
+    decision::Importance importance = decision::Importance::kNormal;
+  };
+  std::optional<Parent> FindParent(std::string_view request_id) const;
+
+  // A call of a running request has ended and took this much.
+  void AddCosts(VisitNumber visit,
+                const std::vector<decision::ServiceCost>& costs);
+  // A call of a running request came out.
   void CountNestedCall() { this->nested_calls += 1; }
 
   decision::LoadReport Load() const;
@@ -112,6 +125,8 @@
     Instant started{};
     bool running = false;
     bool replied = false;
+    std::string request_id;
+    std::vector<decision::ServiceCost> costs;  // Of its calls.
   };
 
   decision::Reason Closed() const;
@@ -122,10 +137,13 @@
              decision::Outcome outcome,
              decision::Reason reason,
              bool offered,
-             decision::Answer answer);
+             decision::Answer answer,
+             std::vector<decision::ServiceCost> costs = {});
   void Refuse(Instant now, VisitNumber number, decision::Reason reason);
   void TakeAnswer(Instant now, VisitNumber number, decision::Answer answer);
   void End(VisitNumber number);
+  std::vector<decision::ServiceCost> CostsOf(Instant now,
+                                             const Visit& visit) const;
   void NoteResult(bool failed);
 
   Options options;
@@ -138,6 +156,7 @@
   VisitNumber next_number = 1;
   std::unordered_map<VisitNumber, Visit> visits;
   std::unordered_map<decision::AttemptId, VisitNumber> by_attempt;
+  std::unordered_map<std::string, VisitNumber> by_request_id;  // Running ones.
   double failure_share = 0;
   double started_visits = 0;  // Fading, like the calls they are held against.
   double nested_calls = 0;
--- a/libraries/decision/events.h
+++ b/libraries/decision/events.h
@@ -111,11 +111,14 @@
   // Time since somebody saw the platform hold nothing newer than this state.
   Duration platform_age = Duration::max();
   std::vector<LeavingHint> leaving_hints;
+  // What the callers of the sender ask for.
+  std::vector<RouteDemand> demand;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->from, this->incarnation, this->state_digest, this->load,
-            this->convicted, this->platform_age, this->leaving_hints);
+            this->convicted, this->platform_age, this->leaving_hints,
+            this->demand);
   }
 };
 
--- a/libraries/decision/messages.h
+++ b/libraries/decision/messages.h
@@ -1,6 +1,7 @@
 #ifndef LIBRARIES_DECISION_MESSAGES_H_
 #define LIBRARIES_DECISION_MESSAGES_H_
 
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -80,6 +81,48 @@
   }
 };
 
+// Time for which a request held slots of one service, in all calls below it.
+struct ServiceCost {
+  std::string service;
+  Duration slot_time{};
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->service, this->slot_time);
+  }
+};
+
+// Requests of one importance differ in what is lost when they are refused.
+enum class Standing : std::uint8_t {
+  kReturned,  // Was refused, came back as told, can still be in time.
+  kNew,
+  kLate,  // Can't be in time any more, or came back at once.
+};
+
+inline constexpr int kStandingCount = 3;
+inline constexpr int kDemandRanks = kImportanceCount * kStandingCount;
+
+// Position in the order in which requests are admitted; smaller goes first.
+constexpr int DemandRank(Importance importance, Standing standing) {
+  return static_cast<int>(importance) * kStandingCount +
+         static_cast<int>(standing);
+}
+
+// Requests for one route that a node's callers sent lately, whether they were
+// admitted or not, by rank: thousandths of a request a second.
+struct RouteDemand {
+  std::string route;
+  std::array<std::uint32_t, kDemandRanks> thousandths{};
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->route);
+    for (auto& value : this->thousandths) {
+      archive(value);
+    }
+  }
+};
+
 enum class VisitKind : std::uint8_t {
   // Runs the request.
   kRun,
@@ -143,12 +186,14 @@
   std::optional<Binding> moved_to;
   // The request reached the backend server, whatever became of it there.
   bool offered = false;
+  // Slot time that the visit took, of a completed one.
+  std::vector<ServiceCost> costs;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->attempt, this->outcome, this->reason, this->retry_after,
             this->unspent_allowance, this->load, this->thresholds,
-            this->next_binding, this->moved_to, this->offered);
+            this->next_binding, this->moved_to, this->offered, this->costs);
   }
 };
 
--- a/libraries/membership/fleet.cc
+++ b/libraries/membership/fleet.cc
@@ -102,6 +102,14 @@
   return found;
 }
 
+std::vector<std::string> Fleet::Services() const {
+  std::vector<std::string> services;
+  for (const auto& [service, addresses] : this->by_service) {
+    services.push_back(service);
+  }
+  return services;
+}
+
 void Fleet::Heard(Instant now, NodeAddress address) {
   auto* node = this->Find(address);
   if (node == nullptr) {
--- a/libraries/membership/fleet.h
+++ b/libraries/membership/fleet.h
@@ -71,6 +71,8 @@
   // Nodes of a service, listed or heard of.
   std::vector<FleetNode*> NodesOf(std::string_view service);
 
+  std::vector<std::string> Services() const;
+
   FleetNode* Find(NodeAddress node);
   const std::unordered_map<NodeAddress, FleetNode>& All() const {
     return this->nodes;
--- a/libraries/membership/state_spread.cc
+++ b/libraries/membership/state_spread.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cereal/cereal.hpp>
+#include <cmath>
 #include <string_view>
 #include <utility>
 
@@ -115,6 +116,15 @@
   return std::nullopt;
 }
 
+double StateSpread::HeardShare(std::size_t fleet_size, int rounds) {
+  if (fleet_size <= 2 * kHeartbeatTargets) {
+    return 1;
+  }
+  const double missed = 1 - static_cast<double>(kHeartbeatTargets) /
+                                static_cast<double>(fleet_size);
+  return 1 - std::pow(missed, rounds);
+}
+
 std::vector<NodeAddress> StateSpread::HeartbeatTargets(
     const std::vector<NodeAddress>& fleet,
     const std::vector<NodeAddress>& waiting) {
--- a/libraries/membership/state_spread.h
+++ b/libraries/membership/state_spread.h
@@ -55,6 +55,10 @@
       const std::vector<NodeAddress>& fleet,
       const std::vector<NodeAddress>& waiting);
 
+  // Part of a fleet of this size whose heartbeats reach one node within
+  // `rounds` of them.
+  static double HeardShare(std::size_t fleet_size, int rounds);
+
  private:
   NodeAddress self;
   RandomSource& random;
--- a/libraries/proxy/http_connection.h
+++ b/libraries/proxy/http_connection.h
@@ -31,6 +31,10 @@
   void CheckDeadline(Instant now);
   // Closes without a word to the listener.
   void Detach();
+  // Nothing is under way on it.
+  bool IsIdle() const;
+  // When it ends if nothing happens before.
+  Instant Deadline() const { return this->deadline; }
 
  private:
   struct Pending {
@@ -55,7 +59,6 @@
   void Linger();
   void Close();
   void SetDeadline(Duration from_now);
-  bool IsIdle() const;
 
   HttpListener* listener;
   asio::ip::tcp::socket socket;
--- a/libraries/proxy/http_listener.cc
+++ b/libraries/proxy/http_listener.cc
@@ -73,7 +73,8 @@
     if (error == asio::error::operation_aborted) {
       return;
     }
-    if (!error && this->connections.size() < this->options.most_connections) {
+    if (!error && (this->connections.size() < this->options.most_connections ||
+                   this->CloseOneIdle())) {
       const auto connection =
           std::make_shared<HttpConnection>(*this, std::move(socket));
       this->connections.insert(connection);
@@ -83,6 +84,21 @@
   });
 }
 
+bool HttpListener::CloseOneIdle() {
+  std::shared_ptr<HttpConnection> oldest;
+  for (const auto& connection : this->connections) {
+    if (connection->IsIdle() &&
+        (!oldest || connection->Deadline() < oldest->Deadline())) {
+      oldest = connection;
+    }
+  }
+  if (!oldest) {
+    return false;
+  }
+  oldest->CloseWhenIdle();
+  return true;
+}
+
 void HttpListener::Sweep() {
   this->sweep_timer.expires_after(kSweepInterval);
   this->sweep_timer.async_wait([this](const std::error_code& error) {
--- a/libraries/proxy/http_listener.h
+++ b/libraries/proxy/http_listener.h
@@ -27,7 +27,7 @@
  public:
   struct Options {
     NodeAddress listen;
-    std::size_t most_connections = 3000;  // Further ones are closed.
+    std::size_t most_connections = 3000;  // Then idle ones make room.
     std::size_t most_pipelined = 32;      // Requests in flight on one.
     http::MessageLimits limits;
     Duration header_timeout = 3s;
@@ -77,6 +77,8 @@
 
  private:
   void Accept();
+  // Closes the connection that has been idle longest. False when none is.
+  bool CloseOneIdle();
   void Sweep();
 
   asio::io_context& io;
--- a/libraries/proxy/proxy_node.cc
+++ b/libraries/proxy/proxy_node.cc
@@ -21,9 +21,16 @@
 
 constexpr Duration kTickInterval = 50ms;
 constexpr Duration kHeartbeatInterval = 300ms;
-
-// After the signal to stop, callers are told to go elsewhere for this long.
-constexpr Duration kLeaveTime = 3s;
+// Heartbeats of one node in the time for which its demand is trusted.
+constexpr int kHeartbeatsInDemand = 5;
+
+// After the signal to stop, other nodes may use the backend server for this
+// long.
+constexpr Duration kServeOnTime = 1200ms;
+// Callers need this long to notice that they are to go elsewhere.
+constexpr Duration kLeaveTime = 2300ms;
+// A short grace is divided into as many parts: serving on, leaving, the rest.
+constexpr int kStopParts = 4;
 // Kept between the last moment of a planned stop and the kill.
 constexpr Duration kStopMargin = 500ms;
 
@@ -142,12 +149,13 @@
 
 void ProxyNode::OnRequest(CallId call,
                           HttpRequest request,
-                          NodeAddress caller) {
-  const bool nested = caller.ip == this->settings.caller.ip;
-  if (nested) {
+                          NodeAddress /*caller*/) {
+  // Callers and the backend server share an address; the id tells them apart.
+  const auto parent = this->gate.FindParent(this->RequestIdOf(request));
+  if (parent) {
     this->gate.CountNestedCall();
   }
-  this->origin.OnRequest(this->Now(), call, std::move(request), nested);
+  this->origin.OnRequest(this->Now(), call, std::move(request), parent);
   this->ArmWakeTimer();
 }
 
@@ -155,6 +163,12 @@
   this->origin.OnCallerGone(this->Now(), call);
 }
 
+void ProxyNode::NestedCallEnded(
+    calls::VisitNumber parent,
+    const std::vector<decision::ServiceCost>& costs) {
+  this->gate.AddCosts(parent, costs);
+}
+
 void ProxyNode::AnswerCaller(CallId call,
                              const HttpResponse& response,
                              const HttpRequest& request,
@@ -218,6 +232,8 @@
 
 void ProxyNode::OnHeartbeat(decision::Heartbeat heartbeat) {
   this->fleet.TakeLoad(this->Now(), heartbeat.from, heartbeat.load);
+  this->origin.Admission().SetPeerDemand(this->Now(), heartbeat.from,
+                                         std::move(heartbeat.demand));
   this->OnDigestSeen(heartbeat.from, heartbeat.state_digest);
 }
 
@@ -437,6 +453,9 @@
   this->OnTick();
   const auto now = this->Now();
   this->fleet.TakeLoad(now, this->settings.node, this->gate.Load());
+  this->origin.UpdateAdmission(
+      now, membership::StateSpread::HeardShare(this->fleet.All().size(),
+                                               kHeartbeatsInDemand));
   if (now >= this->next_heartbeat) {
     this->SendHeartbeats();
   }
@@ -445,6 +464,7 @@
       peer) {
     this->links->RequestTicketItems(*peer, {});
   }
+  this->LeaveWhenDue();
   this->CheckStopped();
   this->tick_timer.expires_after(kTickInterval);
   this->tick_timer.async_wait([this](const std::error_code& error) {
@@ -470,10 +490,12 @@
   for (const auto& [attempt, from] : this->visit_origins) {
     waiting.push_back(from);
   }
-  const decision::Heartbeat heartbeat{.from = this->settings.node,
-                                      .incarnation = this->incarnation,
-                                      .state_digest = this->spread.Version(),
-                                      .load = this->gate.Load()};
+  const decision::Heartbeat heartbeat{
+      .from = this->settings.node,
+      .incarnation = this->incarnation,
+      .state_digest = this->spread.Version(),
+      .load = this->gate.Load(),
+      .demand = this->origin.Admission().OwnDemand(this->Now())};
   for (const auto target :
        this->spread.HeartbeatTargets(this->FleetAddresses(), waiting)) {
     this->links->SendHeartbeat(target, heartbeat);
@@ -486,9 +508,19 @@
   }
   Log(LogEvent::kStopping);
   this->stopping_since = this->Now();
+  this->callers->StartClosing();
+}
+
+void ProxyNode::LeaveWhenDue() {
+  const auto serve_on =
+      std::min(kServeOnTime, this->settings.stop_grace / kStopParts);
+  if (!this->stopping_since || this->left ||
+      this->Now() - *this->stopping_since < serve_on) {
+    return;
+  }
+  this->left = true;
   this->gate.StartLeaving(this->Now());
   this->fleet.TakeLoad(this->Now(), this->settings.node, this->gate.Load());
-  this->callers->StartClosing();
   this->SendHeartbeats();
 }
 
@@ -499,10 +531,11 @@
   const auto elapsed = this->Now() - *this->stopping_since;
   const bool is_idle =
       this->origin.CallsInFlight() == 0 && this->gate.VisitsInFlight() == 0;
-  const auto leave_time = std::min(kLeaveTime, this->settings.stop_grace / 2);
+  const auto leave_time =
+      std::min(kLeaveTime, this->settings.stop_grace * 2 / kStopParts);
   const bool is_last_moment =
       elapsed >= this->settings.stop_grace - kStopMargin;
-  if ((elapsed >= leave_time && is_idle) || is_last_moment) {
+  if ((elapsed >= leave_time && this->left && is_idle) || is_last_moment) {
     this->stopped = true;
     this->callers->StopAccepting();
     Log(LogEvent::kStopped);
--- a/libraries/proxy/proxy_node.h
+++ b/libraries/proxy/proxy_node.h
@@ -102,6 +102,9 @@
                  const decision::VisitRequest& visit,
                  const calls::SharedRequest& request) override;
   void CancelVisit(NodeAddress to, const decision::AttemptId& attempt) override;
+  void NestedCallEnded(
+      calls::VisitNumber parent,
+      const std::vector<decision::ServiceCost>& costs) override;
   void AnswerCaller(decision::CallId call,
                     const HttpResponse& response,
                     const HttpRequest& request,
@@ -141,6 +144,8 @@
   void ArmWakeTimer();
   void OnTick();
   void Tick();
+  // Takes no more requests of other nodes once a stop has gone on for a while.
+  void LeaveWhenDue();
   void CheckStopped();
   void SendHeartbeats();
   std::vector<NodeAddress> FleetAddresses() const;
@@ -165,6 +170,7 @@
   Instant next_heartbeat{};
   bool platform_reached = false;
   std::optional<Instant> stopping_since;
+  bool left = false;
   bool stopped = false;
 
   std::unique_ptr<node::NodeLinks> links;
--- a/libraries/routing/endpoint_chooser.cc
+++ b/libraries/routing/endpoint_chooser.cc
@@ -155,14 +155,26 @@
   return best->node;
 }
 
-double EndpointChooser::FreeSlots(Instant now, std::string_view service) {
-  double free = 0;
+double EndpointChooser::FailureShare(Instant now, std::string_view service) {
+  double sum = 0;
+  int count = 0;
+  for (const auto* node : this->fleet.NodesOf(service)) {
+    if (this->MayUse(now, *node) && node->load_told) {
+      sum += node->load.failure_share;
+      ++count;
+    }
+  }
+  return count == 0 ? 0 : sum / count;
+}
+
+double EndpointChooser::UsableSlots(Instant now, std::string_view service) {
+  double slots = 0;
   for (const auto* node : this->fleet.NodesOf(service)) {
     if (this->MayUse(now, *node)) {
-      free += LimitOf(*node) - PresentAt(now, *node);
+      slots += LimitOf(*node);
     }
   }
-  return free;
+  return slots;
 }
 
 }  // namespace agaterun::routing
--- a/libraries/routing/endpoint_chooser.h
+++ b/libraries/routing/endpoint_chooser.h
@@ -32,9 +32,11 @@
                                     std::span<const NodeAddress> excluded,
                                     bool needs_room);
 
-  // Free slots of the service, as far as known: negative when more requests
-  // wait than slots are free.
-  double FreeSlots(Instant now, std::string_view service);
+  // Slots of the service at nodes that may be used.
+  double UsableSlots(Instant now, std::string_view service);
+
+  // Share of failures among the answers of the service's usable nodes.
+  double FailureShare(Instant now, std::string_view service);
 
  private:
   bool MayUse(Instant now, const membership::FleetNode& node) const;
