--- /dev/null
+++ b/tests/admission/entry_admission_test.cc
@@ -0,0 +1,220 @@
+#include "libraries/admission/entry_admission.h"
+
+#include <boost/test/unit_test.hpp>
+#include <cmath>
+#include <map>
+
+// Each case names the load that it answers.
+namespace agaterun::admission {
+
+BOOST_AUTO_TEST_SUITE(EntryAdmissionTest)
+
+using decision::DemandRank;
+using decision::Importance;
+using decision::Standing;
+
+constexpr Duration kDeadline = 5s;
+
+struct Kind {
+  const char* route;
+  Importance importance;
+  Duration target;
+  int per_second;
+};
+
+// A deep service with 60 slots below two entry routes, and a third route that
+// does not need it.
+struct Fixture {
+  Fixture() {
+    this->admission.SetCapacity(
+        {{"drafts", 400}, {"dispatch", 400}, {"vault", 400}, {"ledger", 60}});
+    this->admission.Learn("draft", {{"drafts", 200ms}, {"ledger", 160ms}},
+                          300ms);
+    this->admission.Learn("packet", {{"dispatch", 400ms}, {"ledger", 320ms}},
+                          500ms);
+    this->admission.Learn("audio", {{"vault", 130ms}}, 130ms);
+  }
+
+  // Sends each kind's requests evenly over a second, each caller for the first
+  // time, and returns which part of each began.
+  std::map<std::string, double> RunSecond(const std::vector<Kind>& kinds) {
+    std::map<std::string, double> begun;
+    constexpr int kSteps = 1000;
+    for (int step = 0; step < kSteps; ++step) {
+      this->now += 1ms;
+      if (step % 50 == 0) {
+        this->admission.Update(this->now, 1.0);
+      }
+      for (const auto& kind : kinds) {
+        const int due = (step + 1) * kind.per_second / kSteps -
+                        step * kind.per_second / kSteps;
+        for (int request = 0; request < due; ++request) {
+          begun[kind.route] += this->Admit(kind) / double(kind.per_second);
+        }
+      }
+    }
+    return begun;
+  }
+
+  int Admit(const Kind& kind) {
+    const auto verdict =
+        this->admission.Decide(this->now, {.route = kind.route,
+                                           .importance = kind.importance,
+                                           .target_latency = kind.target,
+                                           .deadline = kDeadline});
+    return verdict.admitted ? 1 : 0;
+  }
+
+  Instant now = 100s;
+  SeededRandom random{3};
+  EntryAdmission admission{this->random};
+  Kind drafts{"draft", Importance::kNormal, 1500ms, 200};
+  Kind packets{"packet", Importance::kCritical, 1500ms, 100};
+  Kind audio{"audio", Importance::kNormal, 400ms, 50};
+};
+
+BOOST_FIXTURE_TEST_CASE(WithoutLoadAllBegin, Fixture) {
+  this->drafts.per_second = 50;
+  this->packets.per_second = 50;
+  this->RunSecond({this->drafts, this->packets, this->audio});
+  const auto begun =
+      this->RunSecond({this->drafts, this->packets, this->audio});
+  for (const auto& [route, share] : begun) {
+    BOOST_TEST(share > 0.999, route << " " << share);
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(InASurgeTheImportantGoFirstAndTheRestFillsTheSlots,
+                        Fixture) {
+  // Packets take 32 of the slots, drafts would take 32 too: 54 are handed out.
+  this->RunSecond({this->drafts, this->packets, this->audio});
+  const auto begun =
+      this->RunSecond({this->drafts, this->packets, this->audio});
+  BOOST_TEST(begun.at("packet") > 0.999);
+  BOOST_TEST(begun.at("audio") > 0.999);
+  BOOST_TEST(begun.at("draft") > 0.60);
+  BOOST_TEST(begun.at("draft") < 0.76);
+}
+
+BOOST_FIXTURE_TEST_CASE(WhatNeedsNoFullServiceIsServedWhole, Fixture) {
+  this->drafts.per_second = 1000;
+  this->RunSecond({this->drafts, this->audio});
+  BOOST_TEST(this->RunSecond({this->drafts, this->audio}).at("audio") > 0.999);
+}
+
+BOOST_FIXTURE_TEST_CASE(ADeepServiceThatTurnsSlowHasRoomForLess, Fixture) {
+  for (int request = 0; request < 200; ++request) {
+    this->admission.Learn("draft", {{"drafts", 700ms}, {"ledger", 640ms}},
+                          900ms);
+  }
+  this->drafts.per_second = 200;
+  this->RunSecond({this->drafts});
+  const auto begun = this->RunSecond({this->drafts});
+  BOOST_TEST(begun.at("draft") > 0.36);
+  BOOST_TEST(begun.at("draft") < 0.48);
+}
+
+BOOST_FIXTURE_TEST_CASE(TheDemandOfOtherNodesCounts, Fixture) {
+  this->packets.per_second = 0;
+  decision::RouteDemand told{.route = "packet"};
+  told.thousandths[static_cast<std::size_t>(
+      DemandRank(Importance::kCritical, Standing::kNew))] = 100'000;
+  const auto tell = [&] {
+    this->admission.SetPeerDemand(this->now, {.ip = 1, .port = 1}, {told});
+  };
+  tell();
+  this->RunSecond({this->drafts});
+  tell();
+  const auto begun = this->RunSecond({this->drafts});
+  BOOST_TEST(begun.at("draft") < 0.76);
+}
+
+BOOST_FIXTURE_TEST_CASE(ANodeThatFellSilentIsForgotten, Fixture) {
+  decision::RouteDemand told{.route = "packet"};
+  told.thousandths[0] = 1'000'000;
+  this->admission.SetPeerDemand(this->now, {.ip = 1, .port = 1}, {told});
+  this->now += 1600ms;
+  this->drafts.per_second = 100;
+  BOOST_TEST(this->RunSecond({this->drafts}).at("draft") > 0.999);
+}
+
+BOOST_FIXTURE_TEST_CASE(AServiceWithoutNodesHasNoRoom, Fixture) {
+  this->admission.SetCapacity({{"drafts", 400}, {"vault", 400}, {"ledger", 0}});
+  this->RunSecond({this->drafts, this->audio});
+  const auto begun = this->RunSecond({this->drafts, this->audio});
+  BOOST_TEST(begun.at("draft") < 0.001);
+  BOOST_TEST(begun.at("audio") > 0.999);
+}
+
+BOOST_FIXTURE_TEST_CASE(AfterTheSurgeAllBeginWithinASecond, Fixture) {
+  this->drafts.per_second = 1000;
+  this->RunSecond({this->drafts, this->packets});
+  this->RunSecond({this->drafts, this->packets});
+  this->drafts.per_second = 50;
+  this->RunSecond({this->drafts, this->packets});
+  const auto begun = this->RunSecond({this->drafts, this->packets});
+  BOOST_TEST(begun.at("draft") > 0.999);
+}
+
+BOOST_FIXTURE_TEST_CASE(WhoCameBackAsToldGoesBeforeNewcomers, Fixture) {
+  this->drafts.per_second = 1000;
+  this->RunSecond({this->drafts});
+  int begun = 0;
+  constexpr int kReturns = 100;
+  for (int step = 0; step < kReturns; ++step) {
+    this->now += 10ms;
+    this->admission.Update(this->now, 1.0);
+    const auto verdict =
+        this->admission.Decide(this->now, {.route = "draft",
+                                           .importance = Importance::kNormal,
+                                           .target_latency = 1500ms,
+                                           .deadline = kDeadline - 600ms});
+    BOOST_TEST((verdict.standing == Standing::kReturned));
+    begun += verdict.admitted ? 1 : 0;
+  }
+  BOOST_TEST(begun == kReturns);
+}
+
+BOOST_FIXTURE_TEST_CASE(WhoComesBackAtOnceGoesBehindAllOthers, Fixture) {
+  this->RunSecond({this->drafts});
+  const auto verdict =
+      this->admission.Decide(this->now, {.route = "draft",
+                                         .importance = Importance::kNormal,
+                                         .target_latency = 1500ms,
+                                         .deadline = kDeadline - 50ms});
+  BOOST_TEST((verdict.standing == Standing::kLate));
+}
+
+BOOST_FIXTURE_TEST_CASE(TellsWhenAReturnCanStillBeInTimeAndSpreadsIt, Fixture) {
+  this->drafts.per_second = 2000;
+  this->RunSecond({this->drafts});
+  Duration least = 1h;
+  Duration most{};
+  for (int request = 0; request < 500; ++request) {
+    const auto verdict =
+        this->admission.Decide(this->now, {.route = "draft",
+                                           .importance = Importance::kNormal,
+                                           .target_latency = 1500ms,
+                                           .deadline = kDeadline});
+    if (!verdict.admitted) {
+      least = std::min(least, verdict.retry_after);
+      most = std::max(most, verdict.retry_after);
+    }
+  }
+  BOOST_TEST((least >= 200ms));
+  BOOST_TEST((least < 300ms));
+  BOOST_TEST((most <= 1200ms));
+  BOOST_TEST((most > 1000ms));
+}
+
+BOOST_FIXTURE_TEST_CASE(NothingIsRefusedBeforeAnythingIsKnown, Fixture) {
+  EntryAdmission fresh(this->random);
+  fresh.SetCapacity({{"ledger", 1}});
+  fresh.Update(this->now, 1.0);
+  const auto verdict = fresh.Decide(this->now, {.route = "draft"});
+  BOOST_TEST(verdict.admitted);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace agaterun::admission
--- /dev/null
+++ b/tests/admission/route_costs_test.cc
@@ -0,0 +1,49 @@
+#include "libraries/admission/route_costs.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace agaterun::admission {
+
+BOOST_AUTO_TEST_SUITE(RouteCostsTest)
+
+Duration CostAt(const RouteCosts& costs, std::string_view service) {
+  for (const auto& cost : costs.Find("draft")->services) {
+    if (cost.service == service) {
+      return cost.slot_time;
+    }
+  }
+  return Duration{};
+}
+
+BOOST_AUTO_TEST_CASE(TakesTheFirstRequestAtItsWord) {
+  RouteCosts costs;
+  BOOST_TEST((costs.Find("draft") == nullptr));
+  costs.Learn("draft", {{"drafts", 200ms}, {"ledger", 160ms}}, 300ms);
+  BOOST_TEST((CostAt(costs, "ledger") == 160ms));
+  BOOST_TEST((costs.Find("draft")->latency == 300ms));
+}
+
+BOOST_AUTO_TEST_CASE(FollowsAChangeWithoutJumpingAtOneTail) {
+  RouteCosts costs;
+  costs.Learn("draft", {{"ledger", 100ms}}, 300ms);
+  costs.Learn("draft", {{"ledger", 500ms}}, 300ms);
+  BOOST_TEST((CostAt(costs, "ledger") == 120ms));
+  for (int request = 0; request < 100; ++request) {
+    costs.Learn("draft", {{"ledger", 500ms}}, 300ms);
+  }
+  BOOST_TEST((CostAt(costs, "ledger") > 490ms));
+}
+
+BOOST_AUTO_TEST_CASE(ForgetsAServiceThatIsNoLongerOnThePath) {
+  RouteCosts costs;
+  costs.Learn("draft", {{"ledger", 100ms}}, 300ms);
+  for (int request = 0; request < 150; ++request) {
+    costs.Learn("draft", {{"vault", 40ms}}, 300ms);
+  }
+  BOOST_TEST((CostAt(costs, "ledger") < 500us));
+  BOOST_TEST((CostAt(costs, "vault") > 39ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace agaterun::admission
--- /dev/null
+++ b/tests/calls/test_dialect.h
@@ -0,0 +1,22 @@
+#ifndef TESTS_CALLS_TEST_DIALECT_H_
+#define TESTS_CALLS_TEST_DIALECT_H_
+
+#include "libraries/calls/dialect.h"
+
+namespace agaterun::calls {
+
+// Names that no platform uses, so that tests show whatever is written out.
+inline Dialect TestDialect() {
+  return {.request_id = "Id",
+          .deadline = "Left",
+          .expected_instance = "Expected",
+          .caller_service = "Caller",
+          .answer_stamp = "Stamp",
+          .not_run = "Not-Run",
+          .instance = "Instance",
+          .readiness_path = "/ready"};
+}
+
+}  // namespace agaterun::calls
+
+#endif  // TESTS_CALLS_TEST_DIALECT_H_
--- /dev/null
+++ b/tests/calls/visit_gate_test.cc
@@ -0,0 +1,286 @@
+#include "libraries/calls/visit_gate.h"
+
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <map>
+
+#include "tests/calls/test_dialect.h"
+
+namespace agaterun::calls {
+
+BOOST_AUTO_TEST_SUITE(VisitGateTest)
+
+using decision::Importance;
+using decision::Outcome;
+using decision::Reason;
+
+constexpr NodeAddress kOrigin{.ip = 7, .port = 7300};
+
+class RecordingOutput final : public GateOutput {
+ public:
+  void StartExchange(VisitNumber visit,
+                     const SharedRequest& /*request*/,
+                     bool /*idempotent*/,
+                     const std::string& instance,
+                     Duration remaining) override {
+    this->started.push_back(visit);
+    this->instance = instance;
+    this->remaining = remaining;
+  }
+  void AbortExchange(VisitNumber visit) override {
+    this->aborted.push_back(visit);
+  }
+  void SendReply(NodeAddress /*to*/,
+                 decision::VisitReply reply,
+                 decision::Answer answer) override {
+    this->replies[reply.attempt.call] = reply;
+    this->answers[reply.attempt.call] = std::move(answer);
+  }
+  void OnOtherInstance() override { ++this->other_instances; }
+  void ReportVisit(LogEvent /*event*/,
+                   const HttpRequest& /*request*/,
+                   Reason /*reason*/,
+                   Duration /*elapsed*/) override {}
+
+  std::deque<VisitNumber> started;
+  std::vector<VisitNumber> aborted;
+  std::map<decision::CallId, decision::VisitReply> replies;
+  std::map<decision::CallId, decision::Answer> answers;
+  std::string instance;
+  Duration remaining{};
+  int other_instances = 0;
+};
+
+struct Fixture {
+  Fixture() { this->gate.SetEntry(this->now, this->Entry()); }
+
+  membership::EndpointEntry Entry() const {
+    return {.id = "i-1", .service = "drafts", .slots = 2, .started_at = 5};
+  }
+
+  void Arrive(decision::CallId call,
+              Importance importance = Importance::kNormal,
+              bool idempotent = true,
+              const std::string& id = "") {
+    auto request = std::make_shared<HttpRequest>();
+    request->method = "GET";
+    request->headers.push_back({"Id", id.empty() ? std::to_string(call) : id});
+    this->gate.OnVisit(this->now, kOrigin,
+                       {.attempt = {.origin = kOrigin, .call = call},
+                        .service = "drafts",
+                        .remaining = 1s,
+                        .importance = importance,
+                        .idempotent = idempotent,
+                        .patience = 100ms},
+                       request);
+  }
+
+  // Ends the exchange that was started first.
+  void EndFirst(ExchangeEnd end, decision::Answer answer = nullptr) {
+    const auto visit = this->output.started.front();
+    this->output.started.pop_front();
+    this->gate.OnExchangeEnded(this->now, visit, end, std::move(answer));
+  }
+
+  static decision::Answer AnswerWith(
+      int status,
+      std::initializer_list<const char*> headers) {
+    auto answer = std::make_shared<HttpResponse>();
+    answer->status = status;
+    for (const auto* header : headers) {
+      answer->headers.push_back({header, "1"});
+    }
+    return answer;
+  }
+
+  Reason ReasonOf(decision::CallId call) {
+    return this->output.replies.at(call).reason;
+  }
+
+  Instant now = 100s;
+  Dialect dialect = TestDialect();
+  RecordingOutput output;
+  VisitGate gate{{.service = "drafts"}, this->dialect, this->output};
+};
+
+BOOST_FIXTURE_TEST_CASE(FillsTheSlotsAndNoMore, Fixture) {
+  // Two slots are published; one is left free of the two by the share kept
+  // for slow-downs near the limit.
+  this->Arrive(1);
+  this->Arrive(2);
+  BOOST_TEST(this->output.started.size() == 1U);
+  this->now += 20ms;
+  this->EndFirst(ExchangeEnd::kAnswered, AnswerWith(200, {"Stamp"}));
+  BOOST_TEST(this->output.started.size() == 1U);
+  BOOST_TEST((this->output.replies.at(1).outcome == Outcome::kCompleted));
+  BOOST_TEST(this->output.instance == "i-1");
+}
+
+BOOST_FIXTURE_TEST_CASE(RefusesAtOnceWhoWouldWaitTooLong, Fixture) {
+  this->Arrive(1);
+  this->now += 300ms;
+  this->EndFirst(ExchangeEnd::kAnswered, AnswerWith(200, {"Stamp"}));
+  this->Arrive(2);
+  this->Arrive(3);
+  BOOST_TEST((this->ReasonOf(3) == Reason::kOverloaded));
+  BOOST_TEST((this->output.replies.at(3).outcome == Outcome::kNotRun));
+  BOOST_TEST(!this->output.replies.at(3).offered);
+  BOOST_TEST((this->output.replies.at(3).retry_after > 0ms));
+}
+
+BOOST_FIXTURE_TEST_CASE(RefusesWhoHasWaitedTooLong, Fixture) {
+  this->Arrive(1);
+  this->Arrive(2);
+  this->now += 150ms;
+  this->gate.OnTick(this->now);
+  BOOST_TEST((this->ReasonOf(2) == Reason::kOverloaded));
+}
+
+BOOST_FIXTURE_TEST_CASE(TheMoreImportantOfThoseThatWaitGoesFirst, Fixture) {
+  this->Arrive(1);
+  this->Arrive(2, Importance::kNormal);
+  this->Arrive(3, Importance::kCritical);
+  this->EndFirst(ExchangeEnd::kAnswered, AnswerWith(200, {"Stamp"}));
+  this->EndFirst(ExchangeEnd::kAnswered, AnswerWith(200, {"Stamp"}));
+  BOOST_TEST(this->output.replies.contains(3));
+  BOOST_TEST(!this->output.replies.contains(2));
+}
+
+// What the end of an exchange says of the request.
+BOOST_FIXTURE_TEST_CASE(TellsTheOutcomeByEvidence, Fixture) {
+  struct Row {
+    ExchangeEnd end;
+    decision::Answer answer;
+    Outcome outcome;
+    bool offered;
+  };
+  const Row rows[] = {
+      {ExchangeEnd::kAnswered, AnswerWith(200, {"Stamp"}), Outcome::kCompleted,
+       true},
+      {ExchangeEnd::kAnswered, AnswerWith(500, {"Stamp"}), Outcome::kCompleted,
+       true},
+      {ExchangeEnd::kAnswered, AnswerWith(503, {"Not-Run"}), Outcome::kNotRun,
+       true},
+      {ExchangeEnd::kAnswered, AnswerWith(421, {"Instance"}), Outcome::kNotRun,
+       false},
+      {ExchangeEnd::kAnswered, AnswerWith(200, {}), Outcome::kUnknown, true},
+      {ExchangeEnd::kAnswered, AnswerWith(503, {}), Outcome::kUnknown, true},
+      {ExchangeEnd::kAnswered, AnswerWith(200, {"Stamp", "Content-Encoding"}),
+       Outcome::kUnknown, true},
+      {ExchangeEnd::kNotSent, nullptr, Outcome::kNotRun, false},
+      {ExchangeEnd::kBroken, nullptr, Outcome::kUnknown, true},
+  };
+  decision::CallId call = 1;
+  for (const auto& row : rows) {
+    this->gate.SetEntry(this->now, this->Entry());
+    this->Arrive(call);
+    this->EndFirst(row.end, row.answer);
+    const auto& reply = this->output.replies.at(call);
+    BOOST_TEST((reply.outcome == row.outcome), "row " << call);
+    BOOST_TEST(reply.offered == row.offered, "row " << call);
+    ++call;
+  }
+  BOOST_TEST(this->output.other_instances == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnotherInstanceAtTheAddressGetsNothing, Fixture) {
+  this->Arrive(1);
+  this->EndFirst(ExchangeEnd::kAnswered, AnswerWith(421, {"Instance"}));
+  this->Arrive(2);
+  BOOST_TEST((this->ReasonOf(2) == Reason::kBackendDown));
+  BOOST_TEST(!this->gate.Load().backend_up);
+}
+
+BOOST_FIXTURE_TEST_CASE(ALeavingBackendServerGetsNoNewWork, Fixture) {
+  this->Arrive(1);
+  this->Arrive(2);
+  auto entry = this->Entry();
+  entry.leaving = true;
+  this->gate.SetEntry(this->now, entry);
+  BOOST_TEST((this->ReasonOf(2) == Reason::kLeaving));
+  this->Arrive(3);
+  BOOST_TEST((this->ReasonOf(3) == Reason::kLeaving));
+  // What runs goes on to its end.
+  this->EndFirst(ExchangeEnd::kAnswered, AnswerWith(200, {"Stamp"}));
+  BOOST_TEST((this->output.replies.at(1).outcome == Outcome::kCompleted));
+}
+
+BOOST_FIXTURE_TEST_CASE(ABackendServerThatIsUnlistedGetsNoNewWork, Fixture) {
+  this->gate.SetEntry(this->now, std::nullopt);
+  this->Arrive(1);
+  BOOST_TEST((this->ReasonOf(1) == Reason::kBackendDown));
+}
+
+BOOST_FIXTURE_TEST_CASE(ARequestForAnotherServiceIsNotRun, Fixture) {
+  this->gate.SetService("vault");
+  this->Arrive(1);
+  BOOST_TEST((this->ReasonOf(1) == Reason::kNoSuchService));
+  BOOST_TEST(this->output.started.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(CancellingFreesTheSlotOfARepeatableRequest, Fixture) {
+  this->Arrive(1);
+  this->Arrive(2);
+  this->gate.OnCancelled(this->now, {.origin = kOrigin, .call = 1});
+  BOOST_TEST(this->output.aborted.size() == 1U);
+  BOOST_TEST(this->output.started.size() == 2U);
+}
+
+BOOST_FIXTURE_TEST_CASE(CancellingLeavesOneThatMustRunOnceToItsEnd, Fixture) {
+  this->Arrive(1, Importance::kCritical, /*idempotent=*/false);
+  this->gate.OnCancelled(this->now, {.origin = kOrigin, .call = 1});
+  BOOST_TEST(this->output.aborted.empty());
+  BOOST_TEST(this->gate.Load().running == 1U);
+  this->EndFirst(ExchangeEnd::kAnswered, AnswerWith(200, {"Stamp"}));
+  BOOST_TEST(this->gate.Load().running == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(ACancelledOneThatWaitsIsNotRun, Fixture) {
+  this->Arrive(1);
+  this->Arrive(2);
+  this->gate.OnCancelled(this->now, {.origin = kOrigin, .call = 2});
+  BOOST_TEST((this->output.replies.at(2).outcome == Outcome::kNotRun));
+  this->EndFirst(ExchangeEnd::kAnswered, AnswerWith(200, {"Stamp"}));
+  BOOST_TEST(this->output.started.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(AnOverdueExchangeIsBrokenOff, Fixture) {
+  this->Arrive(1);
+  this->now += 1200ms;
+  this->gate.OnTick(this->now);
+  BOOST_TEST(this->output.aborted.size() == 1U);
+  BOOST_TEST((this->output.replies.at(1).outcome == Outcome::kUnknown));
+}
+
+BOOST_FIXTURE_TEST_CASE(FindsTheRequestThatACallBelongsTo, Fixture) {
+  this->Arrive(1, Importance::kCritical, true, "aa.bb");
+  BOOST_TEST(!this->gate.FindParent("aa.bb").has_value());
+  BOOST_TEST(!this->gate.FindParent("cc").has_value());
+  BOOST_TEST(!this->gate.FindParent("aa.cc.dd").has_value());
+  const auto parent = this->gate.FindParent("aa.bb.cc");
+  BOOST_TEST_REQUIRE(parent.has_value());
+  BOOST_TEST((parent->importance == Importance::kCritical));
+  this->EndFirst(ExchangeEnd::kAnswered, AnswerWith(200, {"Stamp"}));
+  BOOST_TEST(!this->gate.FindParent("aa.bb.cc").has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(AnAnswerTellsWhatItsWholeTreeTook, Fixture) {
+  this->Arrive(1, Importance::kNormal, true, "aa");
+  const auto parent = this->gate.FindParent("aa.bb");
+  this->gate.AddCosts(parent->visit, {{"ledger", 40ms}});
+  this->gate.AddCosts(parent->visit, {{"ledger", 50ms}, {"vault", 200ms}});
+  this->now += 300ms;
+  this->EndFirst(ExchangeEnd::kAnswered, AnswerWith(200, {"Stamp"}));
+  std::map<std::string, Duration> costs;
+  for (const auto& cost : this->output.replies.at(1).costs) {
+    costs[cost.service] = cost.slot_time;
+  }
+  BOOST_TEST(costs.size() == 3U);
+  BOOST_TEST((costs["ledger"] == 90ms));
+  BOOST_TEST((costs["vault"] == 200ms));
+  BOOST_TEST((costs["drafts"] == 300ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace agaterun::calls
--- /dev/null
+++ b/tests/fakes/store/fake_store.cc
@@ -0,0 +1,195 @@
+#include "tests/fakes/store/fake_store.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "tests/fakes/free_port.h"
+
+namespace agaterun::fakes {
+
+namespace {
+
+using Json = nlohmann::json;
+
+std::string ToBase64(const std::string& bytes) {
+  constexpr std::string_view kLetters =
+      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+  std::string text;
+  for (std::size_t index = 0; index < bytes.size(); index += 3) {
+    std::uint32_t group = 0;
+    for (std::size_t place = 0; place < 3; ++place) {
+      const auto byte = index + place < bytes.size()
+                            ? static_cast<unsigned char>(bytes[index + place])
+                            : 0U;
+      group = group << 8 | byte;
+    }
+    for (std::size_t place = 0; place < 4; ++place) {
+      const bool is_padding = index + place > bytes.size();
+      text += is_padding ? '=' : kLetters[group >> (18 - 6 * place) & 63];
+    }
+  }
+  return text;
+}
+
+HttpResponse JsonResponse(const Json& body) {
+  HttpResponse response{.status = 200, .body = body.dump()};
+  response.headers.push_back({"Content-Type", "application/json"});
+  return response;
+}
+
+std::map<std::string, std::string> QueryOf(const std::string& target) {
+  std::map<std::string, std::string> query;
+  auto rest = target.substr(std::min(target.find('?'), target.size() - 1) + 1);
+  while (!rest.empty()) {
+    const auto end = std::min(rest.find('&'), rest.size());
+    const auto pair = rest.substr(0, end);
+    const auto equals = pair.find('=');
+    query[pair.substr(0, equals)] =
+        equals == std::string::npos ? "" : pair.substr(equals + 1);
+    rest.erase(0, end + 1);
+  }
+  return query;
+}
+
+}  // namespace
+
+FakeStore::FakeStore(asio::io_context& io)
+    : address(FreeAddress(0x7f000001)),
+      listener(io, {.listen = this->address}, this->call_ids, *this) {
+  if (!this->listener.Listen()) {
+    std::abort();
+  }
+}
+
+void FakeStore::Put(const std::string& key, const std::string& value) {
+  const Event event{.key = key, .value = value, .revision = ++this->revision};
+  this->items[key] = event;
+  this->history.push_back(event);
+  this->AnswerWatches();
+}
+
+void FakeStore::Delete(const std::string& key) {
+  this->items.erase(key);
+  this->history.push_back(
+      {.key = key, .revision = ++this->revision, .deleted = true});
+  this->AnswerWatches();
+}
+
+void FakeStore::DropHistory() {
+  this->oldest = ++this->revision;
+  this->history.clear();
+  this->AnswerWatches();
+}
+
+void FakeStore::OnRequest(decision::CallId call,
+                          HttpRequest request,
+                          NodeAddress /*caller*/) {
+  if (this->silent) {
+    return;
+  }
+  if (this->failure != 0) {
+    this->listener.Answer(call, {.status = this->failure});
+    return;
+  }
+  const auto query = QueryOf(request.target);
+  const auto path = request.target.substr(0, request.target.find('?'));
+  if (path == "/-/kv-key") {
+    ++this->reads;
+    this->listener.Answer(call, this->Item(query));
+  } else if (path == "/-/kv-range") {
+    ++(query.contains("AllowStale") ? this->stale_reads : this->reads);
+    this->listener.Answer(call, this->Range(query));
+  } else if (path == "/-/kv-watch") {
+    ++this->watches;
+    this->waiting.push_back({.call = call,
+                             .prefix = query.at("Prefix"),
+                             .after = std::stoull(query.at("after"))});
+    this->AnswerWatches();
+  } else {
+    this->listener.Answer(call, {.status = 404});
+  }
+}
+
+void FakeStore::OnCallerGone(decision::CallId call) {
+  std::erase_if(this->waiting,
+                [&](const Waiting& entry) { return entry.call == call; });
+}
+
+HttpResponse FakeStore::Item(const std::map<std::string, std::string>& query) {
+  const auto found = this->items.find(query.at("Key"));
+  if (found == this->items.end()) {
+    return {.status = 404};
+  }
+  const auto& item = found->second;
+  return JsonResponse({{"Key", item.key},
+                       {"Value", ToBase64(item.value)},
+                       {"Revision", item.revision},
+                       {"Created", item.revision},
+                       {"Lease", 0},
+                       {"CurrentRev", this->revision}});
+}
+
+HttpResponse FakeStore::Range(const std::map<std::string, std::string>& query) {
+  Json list = Json::array();
+  bool truncated = false;
+  const auto after = query.contains("after") ? query.at("after") : "";
+  for (const auto& [key, item] : this->items) {
+    if (!key.starts_with(query.at("Prefix")) || key <= after) {
+      continue;
+    }
+    if (list.size() >= this->page_size) {
+      truncated = true;
+      break;
+    }
+    list.push_back({{"Key", key},
+                    {"Value", ToBase64(item.value)},
+                    {"Revision", item.revision},
+                    {"Created", item.revision},
+                    {"Lease", 0}});
+  }
+  return JsonResponse({{"items", list},
+                       {"Truncated", truncated},
+                       {"CurrentRev", this->revision}});
+}
+
+std::optional<HttpResponse> FakeStore::Watch(const Waiting& entry) {
+  if (entry.after < this->oldest) {
+    return HttpResponse{.status = 410};
+  }
+  Json events = Json::array();
+  for (const auto& event : this->history) {
+    if (event.revision <= entry.after || !event.key.starts_with(entry.prefix)) {
+      continue;
+    }
+    if (event.deleted) {
+      events.push_back({{"Key", event.key},
+                        {"Revision", event.revision},
+                        {"Deleted", true}});
+    } else {
+      events.push_back({{"Key", event.key},
+                        {"Value", ToBase64(event.value)},
+                        {"Revision", event.revision},
+                        {"Created", event.revision},
+                        {"Lease", 0}});
+    }
+  }
+  if (events.empty()) {
+    return std::nullopt;
+  }
+  return JsonResponse({{"events", events}, {"CurrentRev", this->revision}});
+}
+
+void FakeStore::AnswerWatches() {
+  for (std::size_t index = 0; index < this->waiting.size();) {
+    if (auto response = this->Watch(this->waiting[index]); response) {
+      const auto call = this->waiting[index].call;
+      this->waiting.erase(this->waiting.begin() +
+                          static_cast<std::ptrdiff_t>(index));
+      this->listener.Answer(call, *response);
+    } else {
+      ++index;
+    }
+  }
+}
+
+}  // namespace agaterun::fakes
--- /dev/null
+++ b/tests/fakes/store/fake_store.h
@@ -0,0 +1,77 @@
+#ifndef TESTS_FAKES_STORE_FAKE_STORE_H_
+#define TESTS_FAKES_STORE_FAKE_STORE_H_
+
+#include <asio/io_context.hpp>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "libraries/proxy/http_listener.h"
+
+namespace agaterun::fakes {
+
+// A key-value store as the users' platform publishes it: items, pages, watches.
+class FakeStore : private proxy::RequestSink {
+ public:
+  explicit FakeStore(asio::io_context& io);
+
+  NodeAddress Address() const { return this->address; }
+
+  void Put(const std::string& key, const std::string& value);
+  void Delete(const std::string& key);
+  // Watches from before now get 410.
+  void DropHistory();
+  // All calls get this status instead; 0 for none.
+  void FailWith(int status) { this->failure = status; }
+  // Calls get no answer at all.
+  void SetSilent(bool is_silent) { this->silent = is_silent; }
+  // Items of one page.
+  void SetPageSize(std::size_t size) { this->page_size = size; }
+
+  int Reads() const { return this->reads; }
+  int Watches() const { return this->watches; }
+  int StaleReads() const { return this->stale_reads; }
+
+ private:
+  struct Event {
+    std::string key;
+    std::string value;
+    std::uint64_t revision = 0;
+    bool deleted = false;
+  };
+  struct Waiting {
+    decision::CallId call = 0;
+    std::string prefix;
+    std::uint64_t after = 0;
+  };
+
+  void OnRequest(decision::CallId call,
+                 HttpRequest request,
+                 NodeAddress caller) override;
+  void OnCallerGone(decision::CallId call) override;
+  HttpResponse Item(const std::map<std::string, std::string>& query);
+  HttpResponse Range(const std::map<std::string, std::string>& query);
+  std::optional<HttpResponse> Watch(const Waiting& waiting);
+  void AnswerWatches();
+
+  NodeAddress address;
+  decision::CallId call_ids = 1;
+  proxy::HttpListener listener;
+  std::map<std::string, Event> items;
+  std::vector<Event> history;
+  std::uint64_t revision = 100;
+  std::uint64_t oldest = 0;
+  std::vector<Waiting> waiting;
+  int failure = 0;
+  bool silent = false;
+  std::size_t page_size = 500;
+  int reads = 0;
+  int watches = 0;
+  int stale_reads = 0;
+};
+
+}  // namespace agaterun::fakes
+
+#endif  // TESTS_FAKES_STORE_FAKE_STORE_H_
--- /dev/null
+++ b/tests/membership/fleet_test.cc
@@ -0,0 +1,80 @@
+#include "libraries/membership/fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace agaterun::membership {
+
+BOOST_AUTO_TEST_SUITE(FleetTest)
+
+constexpr std::uint16_t kPort = 7300;
+constexpr NodeAddress kNode{.ip = 1, .port = kPort};
+
+EndpointEntry Entry(const char* id, std::uint64_t started_at) {
+  return {.id = id,
+          .service = "drafts",
+          .address = {.ip = 1, .port = 8000},
+          .failure_domain = "a",
+          .slots = 10,
+          .started_at = started_at};
+}
+
+struct Fixture {
+  Instant now = 100s;
+  Fleet fleet{{.self = {.ip = 9, .port = kPort},
+               .node_port = kPort,
+               .failure_domain = "a"}};
+};
+
+BOOST_FIXTURE_TEST_CASE(OfTwoEntriesAtOneAddressTheNewerLives, Fixture) {
+  auto gone = Entry("old", 5);
+  gone.service = "ledger";
+  this->fleet.SetList(this->now, {Entry("new", 9), gone});
+  BOOST_TEST(this->fleet.EntryAt({.ip = 1, .port = 8000})->id == "new");
+  BOOST_TEST(this->fleet.Find(kNode)->service == "drafts");
+  BOOST_TEST(this->fleet.NodesOf("ledger").empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(AnAddressThatAnotherServiceTookLosesItsLoad, Fixture) {
+  this->fleet.SetList(this->now, {Entry("a", 5)});
+  this->fleet.TakeLoad(this->now, kNode, {.leaving = true});
+  auto other = Entry("b", 9);
+  other.service = "vault";
+  this->fleet.SetList(this->now, {other});
+  BOOST_TEST(!this->fleet.Find(kNode)->load_told.has_value());
+  BOOST_TEST(this->fleet.NodesOf("vault").size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(WhoIsNoLongerListedStaysWhileItIsHeard, Fixture) {
+  this->fleet.SetList(this->now, {Entry("a", 5)});
+  this->fleet.Heard(this->now, kNode);
+  this->fleet.SetList(this->now + 1s, {});
+  BOOST_TEST((this->fleet.Find(kNode) != nullptr));
+  this->fleet.SetList(this->now + 3s, {});
+  BOOST_TEST((this->fleet.Find(kNode) == nullptr));
+}
+
+BOOST_FIXTURE_TEST_CASE(ANodeIsSilentOnlyWhileAttemptsWaitThere, Fixture) {
+  this->fleet.SetList(this->now, {Entry("a", 5)});
+  BOOST_TEST(this->fleet.SilentNodes(this->now + 10s).empty());
+  this->fleet.AttemptSent(this->now, kNode);
+  BOOST_TEST(this->fleet.SilentNodes(this->now + 900ms).empty());
+  BOOST_TEST(this->fleet.SilentNodes(this->now + 1100ms).size() == 1U);
+  this->fleet.Heard(this->now + 1100ms, kNode);
+  BOOST_TEST(this->fleet.SilentNodes(this->now + 1200ms).empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(AttemptsThatAreLostTogetherAreOneLoss, Fixture) {
+  this->fleet.SetList(this->now, {Entry("a", 5)});
+  for (int attempt = 0; attempt < 5; ++attempt) {
+    this->fleet.AttemptSent(this->now, kNode);
+  }
+  for (int attempt = 0; attempt < 5; ++attempt) {
+    this->fleet.AttemptEnded(this->now + 1ms, kNode, /*silent=*/true);
+  }
+  BOOST_TEST(this->fleet.Find(kNode)->losses == 1);
+  BOOST_TEST(this->fleet.Find(kNode)->in_flight == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace agaterun::membership
--- /dev/null
+++ b/tests/platform_adapter/store_reader_test.cc
@@ -0,0 +1,171 @@
+#include "platform/store_reader.h"
+
+#include <boost/test/unit_test.hpp>
+#include <optional>
+
+#include "tests/fakes/run_until.h"
+#include "tests/fakes/store/fake_store.h"
+
+namespace agaterun::platform_adapter {
+
+BOOST_AUTO_TEST_SUITE(StoreReaderTest)
+
+class RecordingObserver final : public membership::DirectoryObserver {
+ public:
+  void OnConfiguration(
+      std::shared_ptr<const routing::Configuration> configuration,
+      std::string text) override {
+    this->version = configuration->version;
+    this->text = std::move(text);
+  }
+  void OnEndpointList(membership::EndpointList list) override {
+    this->list = std::move(list);
+    ++this->lists;
+  }
+  void OnLocalEndpoint(membership::LocalEndpoint endpoint) override {
+    this->local = std::move(endpoint);
+    ++this->locals;
+  }
+  void OnPlatformReached(bool reached, std::string /*why*/) override {
+    this->reached = reached;
+  }
+
+  std::uint64_t version = 0;
+  std::string text;
+  membership::EndpointList list;
+  int lists = 0;
+  membership::LocalEndpoint local;
+  int locals = 0;
+  std::optional<bool> reached;
+};
+
+std::string Configuration(int version) {
+  return R"({"Version":)" + std::to_string(version) + R"(,"Resources":[]})";
+}
+
+std::string Endpoint(const char* state) {
+  return std::string(R"({"Service":"one","Address":"10.0.0.9:8080",)") +
+         R"("Zone":"a","Version":"v1","Slots":9,"State":")" + state +
+         R"(","ColdLeft":"0ms","Seq":4})";
+}
+
+struct Fixture {
+  bool Until(const std::function<bool()>& done) {
+    return fakes::RunUntil(this->io, done);
+  }
+
+  asio::io_context io{1};
+  fakes::FakeStore store{this->io};
+  SeededRandom random{4};
+  RecordingObserver observer;
+  StoreReader reader{this->io,
+                     {.store = this->store.Address(),
+                      .configuration_wait = 300ms,
+                      .local_endpoint_wait = 300ms,
+                      .list_interval = 20ms,
+                      .answer_timeout = 200ms,
+                      .retry_interval = 20ms},
+                     this->random,
+                     this->observer};
+};
+
+BOOST_FIXTURE_TEST_CASE(FollowsTheConfiguration, Fixture) {
+  this->store.Put("op/config", Configuration(3));
+  this->reader.Start();
+  BOOST_TEST(this->Until([&] { return this->observer.version == 3; }));
+  BOOST_TEST(this->observer.text == Configuration(3));
+  this->store.Put("op/other", "x");
+  this->store.Put("op/config", Configuration(9));
+  BOOST_TEST(this->Until([&] { return this->observer.version == 9; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(WaitsForAFirstConfiguration, Fixture) {
+  this->reader.Start();
+  BOOST_TEST(this->Until([&] { return this->store.Reads() > 3; }));
+  this->store.Put("op/config", Configuration(1));
+  BOOST_TEST(this->Until([&] { return this->observer.version == 1; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(ReadsAgainWhenItsHistoryIsGone, Fixture) {
+  this->store.Put("op/config", Configuration(3));
+  this->reader.Start();
+  BOOST_TEST(this->Until([&] { return this->store.Watches() > 0; }));
+  // The change and its history go before the watch hears of it.
+  this->store.SetSilent(true);
+  BOOST_TEST(this->Until([&] { return this->observer.reached == false; }));
+  this->store.Put("op/config", Configuration(4));
+  this->store.DropHistory();
+  this->store.SetSilent(false);
+  BOOST_TEST(this->Until([&] { return this->observer.version == 4; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(KeepsAConfigurationWhenTheNextCantBeRead, Fixture) {
+  this->store.Put("op/config", Configuration(3));
+  this->reader.Start();
+  BOOST_TEST(this->Until([&] { return this->observer.version == 3; }));
+  this->store.Put("op/config", "{");
+  this->store.Put("op/config", Configuration(5));
+  BOOST_TEST(this->Until([&] { return this->observer.version == 5; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(ComesBackAfterEachFailureOfTheStore, Fixture) {
+  this->store.Put("op/config", Configuration(3));
+  this->reader.Start();
+  BOOST_TEST(this->Until([&] { return this->observer.reached == true; }));
+  int version = 3;
+  for (const int status : {429, 503, 500}) {
+    this->store.FailWith(status);
+    BOOST_TEST(this->Until([&] { return this->observer.reached == false; }));
+    this->store.Put("op/config", Configuration(++version));
+    this->store.FailWith(0);
+    BOOST_TEST(this->Until([&] {
+      return this->observer.reached == true &&
+             this->observer.version == static_cast<std::uint64_t>(version);
+    }));
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(ReadsAllPagesAndLeavesOutForeignEntries, Fixture) {
+  this->store.SetPageSize(2);
+  for (const char* id : {"a", "b", "c", "d", "e"}) {
+    this->store.Put(std::string("servers/") + id, Endpoint("ready"));
+  }
+  this->store.Put("servers/bad", "\xff");
+  this->store.Put("servers/worse", R"({"Service":7})");
+  this->reader.Start();
+  BOOST_TEST(this->Until([&] { return this->observer.lists > 0; }));
+  BOOST_TEST(this->observer.list.entries.size() == 5U);
+  BOOST_TEST(this->observer.list.is_current);
+}
+
+BOOST_FIXTURE_TEST_CASE(AsksForCheapListsOnceItKnowsItsOwnEntry, Fixture) {
+  this->store.Put("servers/me", Endpoint("ready"));
+  this->reader.Start();
+  BOOST_TEST(this->Until([&] { return this->observer.lists > 2; }));
+  BOOST_TEST(this->store.StaleReads() == 0);
+  this->reader.WatchLocalEndpoint("me");
+  BOOST_TEST(this->Until([&] { return this->store.StaleReads() > 2; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(FollowsTheEntryOfTheLocalBackendServer, Fixture) {
+  this->store.Put("servers/me", Endpoint("ready"));
+  this->store.Put("servers/me2", Endpoint("ready"));
+  this->reader.Start();
+  this->reader.WatchLocalEndpoint("me");
+  BOOST_TEST(this->Until([&] { return this->observer.locals > 0; }));
+  BOOST_TEST(!this->observer.local.entry->leaving);
+  this->store.Put("servers/me2", Endpoint("draining"));
+  this->store.Put("servers/me", Endpoint("draining"));
+  BOOST_TEST(this->Until([&] { return this->observer.local.entry->leaving; }));
+  this->store.Delete("servers/me");
+  BOOST_TEST(
+      this->Until([&] { return !this->observer.local.entry.has_value(); }));
+  this->reader.WatchLocalEndpoint("me2");
+  BOOST_TEST(
+      this->Until([&] { return this->observer.local.entry.has_value(); }));
+  BOOST_TEST(this->observer.local.id == "me2");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace agaterun::platform_adapter
--- /dev/null
+++ b/tests/proxy/endpoint_pool_test.cc
@@ -0,0 +1,222 @@
+#include "libraries/proxy/endpoint_pool.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+#include "tests/fakes/free_port.h"
+#include "tests/fakes/raw_server.h"
+#include "tests/fakes/run_until.h"
+
+namespace agaterun::proxy {
+
+BOOST_AUTO_TEST_SUITE(EndpointPoolTest)
+
+using calls::ExchangeEnd;
+using fakes::RawServer;
+using End = RawServer::Reaction::End;
+
+class RecordingObserver final : public EndpointObserver {
+ public:
+  struct Ended {
+    ExchangeEnd end = ExchangeEnd::kBroken;
+    decision::Answer answer;
+  };
+
+  void OnExchangeEnded(calls::VisitNumber visit,
+                       ExchangeEnd end,
+                       decision::Answer answer) override {
+    BOOST_TEST(!this->ended.contains(visit), "ended twice");
+    this->ended[visit] = {end, std::move(answer)};
+  }
+  void OnBackendReachable(bool reachable) override {
+    this->reachable = reachable;
+  }
+
+  std::map<calls::VisitNumber, Ended> ended;
+  bool reachable = true;
+};
+
+std::string Response(const std::string& id, const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nId: " + id +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+std::string IdIn(const std::string& head) {
+  const auto start = head.find("Id: ") + 4;
+  return head.substr(start, head.find("\r\n", start) - start);
+}
+
+struct Fixture {
+  void Serve(RawServer::Script script) {
+    this->server = std::make_unique<RawServer>(this->io, std::move(script));
+    this->MakePool(this->server->Address());
+  }
+
+  void MakePool(NodeAddress address) {
+    this->pool = std::make_unique<EndpointPool>(
+        this->io,
+        EndpointPool::Options{.backend_server = address,
+                              .request_id_header = "Id"},
+        this->observer);
+  }
+
+  void Start(calls::VisitNumber visit, bool idempotent = true) {
+    const auto id = std::to_string(visit);
+    this->pool->Start(
+        {.visit = visit,
+         .bytes = "GET / HTTP/1.1\r\nHost: a\r\nId: " + id + "\r\n\r\n",
+         .request_id = id,
+         .idempotent = idempotent});
+  }
+
+  const RecordingObserver::Ended& Run(calls::VisitNumber visit) {
+    this->Start(visit);
+    BOOST_TEST_REQUIRE(fakes::RunUntil(
+        this->io, [&] { return this->observer.ended.contains(visit); }));
+    return this->observer.ended.at(visit);
+  }
+
+  asio::io_context io{1};
+  RecordingObserver observer;
+  std::unique_ptr<RawServer> server;
+  std::unique_ptr<EndpointPool> pool;
+};
+
+BOOST_FIXTURE_TEST_CASE(KeepsItsConnection, Fixture) {
+  this->Serve([](const std::string& head) {
+    return RawServer::Reaction{Response(IdIn(head), "whole")};
+  });
+  for (calls::VisitNumber visit = 1; visit <= 5; ++visit) {
+    const auto& ended = this->Run(visit);
+    BOOST_TEST((ended.end == ExchangeEnd::kAnswered));
+    BOOST_TEST(ended.answer->body == "whole");
+  }
+  BOOST_TEST(this->server->Connections() == 1);
+}
+
+// What a faulty backend server may put on the wire.
+BOOST_FIXTURE_TEST_CASE(TakesOnlyWholeAnswersToItsOwnRequest, Fixture) {
+  struct Row {
+    const char* what;
+    std::function<RawServer::Reaction(const std::string&)> script;
+    ExchangeEnd end;
+    const char* body;
+  };
+  const Row rows[] = {
+      {"cut off",
+       [](const std::string& id) {
+         auto bytes = Response(id, "whole");
+         bytes.resize(bytes.size() - 2);
+         return RawServer::Reaction{bytes, End::kClose};
+       },
+       ExchangeEnd::kBroken, ""},
+      {"no response at all",
+       [](const std::string&) {
+         return RawServer::Reaction{"nonsense\r\n\r\n", End::kClose};
+       },
+       ExchangeEnd::kBroken, ""},
+      {"closed without a byte",
+       [](const std::string&) {
+         return RawServer::Reaction{"", End::kClose};
+       },
+       ExchangeEnd::kBroken, ""},
+      {"without a length, ended in order",
+       [](const std::string& id) {
+         return RawServer::Reaction{
+             "HTTP/1.1 200 OK\r\nId: " + id + "\r\n\r\nwhole", End::kClose};
+       },
+       ExchangeEnd::kAnswered, "whole"},
+      {"without a length, reset",
+       [](const std::string& id) {
+         return RawServer::Reaction{
+             "HTTP/1.1 200 OK\r\nId: " + id + "\r\n\r\nwhole", End::kReset};
+       },
+       ExchangeEnd::kBroken, ""},
+      {"another request's answer first",
+       [](const std::string& id) {
+         return RawServer::Reaction{Response("other", "foreign") +
+                                    Response(id, "whole")};
+       },
+       ExchangeEnd::kAnswered, "whole"},
+      {"a second answer behind it",
+       [](const std::string& id) {
+         return RawServer::Reaction{Response(id, "whole") +
+                                    Response(id, "again")};
+       },
+       ExchangeEnd::kAnswered, "whole"},
+      {"a success without an id",
+       [](const std::string&) {
+         return RawServer::Reaction{
+             "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", End::kClose};
+       },
+       ExchangeEnd::kBroken, ""},
+      {"a rejection without an id",
+       [](const std::string&) {
+         return RawServer::Reaction{
+             "HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"};
+       },
+       ExchangeEnd::kAnswered, ""},
+  };
+  calls::VisitNumber visit = 0;
+  std::function<RawServer::Reaction(const std::string&)> script;
+  this->Serve([&](const std::string& head) { return script(IdIn(head)); });
+  for (const auto& row : rows) {
+    script = row.script;
+    const auto& ended = this->Run(++visit);
+    BOOST_TEST((ended.end == row.end), row.what);
+    BOOST_TEST((ended.answer ? ended.answer->body : "") == row.body, row.what);
+    // Whatever came, the next request gets its own answer.
+    script = [](const std::string& id) {
+      return RawServer::Reaction{Response(id, "next")};
+    };
+    const auto& next = this->Run(++visit);
+    BOOST_TEST_REQUIRE((next.end == ExchangeEnd::kAnswered), row.what);
+    BOOST_TEST(next.answer->body == "next", row.what);
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(ARefusedConnectionProvesThatNothingRan, Fixture) {
+  this->MakePool(fakes::FreeAddress(0x7f000001));
+  BOOST_TEST((this->Run(1).end == ExchangeEnd::kNotSent));
+  BOOST_TEST(!this->observer.reachable);
+}
+
+BOOST_FIXTURE_TEST_CASE(FindsABackendServerThatIsBack, Fixture) {
+  const auto address = fakes::FreeAddress(0x7f000001);
+  this->MakePool(address);
+  BOOST_TEST((this->Run(1).end == ExchangeEnd::kNotSent));
+  asio::ip::tcp::acceptor acceptor(
+      this->io,
+      asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), address.port));
+  BOOST_TEST(
+      fakes::RunUntil(this->io, [&] { return this->observer.reachable; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(AnAbortedExchangeEndsWithoutAWord, Fixture) {
+  this->Serve([](const std::string&) { return RawServer::Reaction{}; });
+  this->Start(1);
+  BOOST_TEST_REQUIRE(fakes::RunUntil(
+      this->io, [&] { return this->server->Heads().size() == 1; }));
+  this->pool->Abort(1);
+  this->Start(2);
+  BOOST_TEST_REQUIRE(fakes::RunUntil(
+      this->io, [&] { return this->server->Heads().size() == 2; }));
+  BOOST_TEST(this->observer.ended.empty());
+  BOOST_TEST(this->server->Connections() == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(RespectsTheIdleTimeThatItIsTold, Fixture) {
+  this->Serve([](const std::string& head) {
+    auto bytes = Response(IdIn(head), "whole");
+    bytes.insert(bytes.find("Id:"), "Keep-Alive: timeout=0\r\n");
+    return RawServer::Reaction{bytes};
+  });
+  this->Run(1);
+  this->Run(2);
+  BOOST_TEST(this->server->Connections() == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace agaterun::proxy
--- /dev/null
+++ b/tests/proxy/http_listener_test.cc
@@ -0,0 +1,166 @@
+#include "libraries/proxy/http_listener.h"
+
+#include <array>
+#include <asio/buffer.hpp>
+#include <asio/connect.hpp>
+#include <asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+#include "tests/fakes/free_port.h"
+#include "tests/fakes/run_until.h"
+
+namespace agaterun::proxy {
+
+BOOST_AUTO_TEST_SUITE(HttpListenerTest)
+
+class RecordingSink final : public RequestSink {
+ public:
+  void OnRequest(decision::CallId call,
+                 HttpRequest request,
+                 NodeAddress /*caller*/) override {
+    this->requests[call] = std::move(request);
+  }
+  void OnCallerGone(decision::CallId call) override {
+    this->gone.push_back(call);
+  }
+
+  std::map<decision::CallId, HttpRequest> requests;
+  std::vector<decision::CallId> gone;
+};
+
+// A caller that writes whatever a test wants and gathers what comes.
+class RawCaller {
+ public:
+  RawCaller(asio::io_context& io, NodeAddress address) : socket(io) {
+    this->socket.connect({asio::ip::address_v4(address.ip), address.port});
+    this->Read();
+  }
+
+  void Send(const std::string& bytes) {
+    asio::write(this->socket, asio::buffer(bytes));
+  }
+  void Close() { this->socket.close(); }
+
+  std::string received;
+  bool ended = false;
+
+ private:
+  void Read() {
+    this->socket.async_read_some(
+        asio::buffer(this->input),
+        [this](const std::error_code& error, std::size_t count) {
+          if (error) {
+            this->ended = true;
+            return;
+          }
+          this->received.append(this->input.data(), count);
+          this->Read();
+        });
+  }
+
+  asio::ip::tcp::socket socket;
+  std::array<char, 4096> input{};
+};
+
+struct Fixture {
+  Fixture() { BOOST_TEST_REQUIRE(this->listener.Listen().has_value()); }
+
+  bool Until(const std::function<bool()>& done) {
+    return fakes::RunUntil(this->io, done);
+  }
+
+  asio::io_context io{1};
+  NodeAddress address = fakes::FreeAddress(0x7f000001);
+  decision::CallId call_ids = 1;
+  RecordingSink sink;
+  HttpListener listener{this->io,
+                        {.listen = this->address,
+                         .limits = {.header_bytes = 500, .body_bytes = 100},
+                         .header_timeout = 100ms,
+                         .idle_timeout = 400ms},
+                        this->call_ids,
+                        this->sink};
+};
+
+BOOST_FIXTURE_TEST_CASE(AnswersPipelinedRequestsInTheirOrder, Fixture) {
+  RawCaller caller(this->io, this->address);
+  caller.Send(
+      "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n"
+      "POST /3 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\nabc\r\n0\r\n\r\n");
+  BOOST_TEST(this->Until([&] { return this->sink.requests.size() == 3; }));
+  BOOST_TEST(this->sink.requests.at(3).body == "abc");
+  this->listener.Answer(3, {.status = 203});
+  this->listener.Answer(2, {.status = 202});
+  this->listener.Answer(1, {.status = 201});
+  BOOST_TEST(this->Until(
+      [&] { return caller.received.find(" 203 ") != std::string::npos; }));
+  BOOST_TEST(caller.received.find(" 201 ") < caller.received.find(" 202 "));
+  BOOST_TEST(caller.received.find(" 202 ") < caller.received.find(" 203 "));
+}
+
+BOOST_FIXTURE_TEST_CASE(TellsThatTheCallerOfEachRequestIsGone, Fixture) {
+  RawCaller caller(this->io, this->address);
+  caller.Send(
+      "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+  BOOST_TEST(this->Until([&] { return this->sink.requests.size() == 2; }));
+  caller.Close();
+  BOOST_TEST(this->Until([&] { return this->sink.gone.size() == 2; }));
+  BOOST_TEST(this->listener.ConnectionCount() == 0U);
+  this->listener.Answer(1, {.status = 200});
+}
+
+BOOST_FIXTURE_TEST_CASE(RefusesWhatIsTooLargeOrNoRequest, Fixture) {
+  const std::pair<std::string, const char*> rows[] = {
+      {"nonsense\r\n\r\n", " 400 "},
+      {"GET / HTTP/1.1\r\n\r\n", " 400 "},
+      {"GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(600, 'x') + "\r\n\r\n",
+       " 431 "},
+      {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 101\r\n\r\n", " 413 "},
+      {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n",
+       " 400 "},
+  };
+  for (const auto& [bytes, status] : rows) {
+    RawCaller caller(this->io, this->address);
+    caller.Send(bytes);
+    BOOST_TEST(this->Until([&] { return caller.ended; }), bytes);
+    BOOST_TEST((caller.received.find(status) != std::string::npos),
+               caller.received);
+  }
+  BOOST_TEST(this->sink.requests.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(GivesUpARequestThatDoesNotCome, Fixture) {
+  RawCaller caller(this->io, this->address);
+  caller.Send("GET / HTTP/1.1\r\nHo");
+  BOOST_TEST(this->Until([&] { return caller.ended; }));
+  BOOST_TEST((caller.received.find(" 408 ") != std::string::npos));
+}
+
+BOOST_FIXTURE_TEST_CASE(ClosesAnIdleConnection, Fixture) {
+  RawCaller caller(this->io, this->address);
+  BOOST_TEST(this->Until([&] { return caller.ended; }));
+  BOOST_TEST(caller.received.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(WhileItStopsItAnswersAndAsksToClose, Fixture) {
+  RawCaller idle(this->io, this->address);
+  RawCaller caller(this->io, this->address);
+  caller.Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  BOOST_TEST(this->Until([&] { return this->sink.requests.size() == 1; }));
+  this->listener.StartClosing();
+  BOOST_TEST(this->Until([&] { return idle.ended; }));
+  this->listener.Answer(1, {.status = 200});
+  BOOST_TEST(this->Until([&] { return caller.ended; }));
+  BOOST_TEST((caller.received.find("Connection: close") != std::string::npos));
+  // Whoever has not noticed yet is still served.
+  RawCaller late(this->io, this->address);
+  late.Send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+  BOOST_TEST(this->Until([&] { return this->sink.requests.size() == 2; }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace agaterun::proxy
--- /dev/null
+++ b/tests/retries/repeat_budget_test.cc
@@ -0,0 +1,95 @@
+#include "libraries/retries/repeat_budget.h"
+
+#include <boost/test/unit_test.hpp>
+#include <cstddef>
+#include <vector>
+
+#include "libraries/base/random.h"
+
+namespace agaterun::retries {
+
+BOOST_AUTO_TEST_SUITE(RepeatBudgetTest)
+
+BOOST_AUTO_TEST_CASE(GivesAShareOfTheRequestsAndAPartOfTheRest) {
+  RepeatBudget budget({.ratio = 0.2, .extra = 26, .window = 10s});
+  budget.SetFleetSize(13);
+  for (int request = 0; request < 100; ++request) {
+    budget.AddRequest(1s, "ledger");
+  }
+  int taken = 0;
+  while (budget.Take(2s, "ledger", 1)) {
+    ++taken;
+  }
+  // Nine tenths of 0.2 * 100 + 26 / 13.
+  BOOST_TEST(taken == 19);
+}
+
+BOOST_AUTO_TEST_CASE(CountsEachServiceByItself) {
+  RepeatBudget budget({.ratio = 0.2, .extra = 0, .window = 10s});
+  for (int request = 0; request < 100; ++request) {
+    budget.AddRequest(1s, "ledger");
+  }
+  BOOST_TEST(!budget.Take(1s, "vault", 1));
+  BOOST_TEST(budget.Take(1s, "ledger", 1));
+}
+
+BOOST_AUTO_TEST_CASE(ARepeatWithCallsOfItsOwnCostsMore) {
+  RepeatBudget budget({.ratio = 0.1, .extra = 0, .window = 10s});
+  for (int request = 0; request < 100; ++request) {
+    budget.AddRequest(1s, "drafts");
+  }
+  BOOST_TEST(budget.Take(1s, "drafts", 6));
+  BOOST_TEST(!budget.Take(1s, "drafts", 6));
+  BOOST_TEST(budget.Take(1s, "drafts", 3));
+}
+
+// Nodes that know nothing of each other keep the bound of the whole fleet in
+// every sliding window.
+BOOST_AUTO_TEST_CASE(TheFleetStaysWithinItsBoundInEveryWindow) {
+  constexpr int kNodes = 13;
+  constexpr double kRatio = 0.2;
+  constexpr double kExtra = 47;
+  constexpr int kSteps = 4000;  // Of 10 ms.
+  constexpr int kWindowSteps = 1000;
+  SeededRandom random(20261204);
+  std::vector<RepeatBudget> budgets(
+      kNodes, RepeatBudget({.ratio = kRatio, .extra = kExtra, .window = 10s}));
+  std::vector<int> requests(kSteps);
+  std::vector<int> repeats(kSteps);
+  for (auto& budget : budgets) {
+    budget.SetFleetSize(kNodes);
+  }
+  for (int step = 0; step < kSteps; ++step) {
+    const Instant now = 10ms * (step + 1);
+    // Surges and pauses.
+    const double rate = (step / 500) % 2 == 0 ? 0.5 : 0.02;
+    for (auto& budget : budgets) {
+      if (random.Unit() < rate) {
+        budget.AddRequest(now, "ledger");
+        ++requests[static_cast<std::size_t>(step)];
+      }
+      if (random.Unit() < 0.3 && budget.Take(now, "ledger", 1)) {
+        ++repeats[static_cast<std::size_t>(step)];
+      }
+    }
+  }
+  const auto sum = [](const std::vector<int>& counts, int from, int to) {
+    int total = 0;
+    for (int step = std::max(0, from); step < to; ++step) {
+      total += counts[static_cast<std::size_t>(step)];
+    }
+    return total;
+  };
+  for (int end = 50; end <= kSteps; end += 50) {
+    const int begin = end - kWindowSteps;
+    // The bound takes the best of this window, the one before, half before.
+    const int most = std::max(
+        {sum(requests, begin, end), sum(requests, begin - kWindowSteps, begin),
+         sum(requests, begin - kWindowSteps / 2, end - kWindowSteps / 2)});
+    BOOST_TEST(sum(repeats, begin, end) <= kRatio * most + kExtra);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace agaterun::retries
--- /dev/null
+++ b/tests/routing/endpoint_chooser_test.cc
@@ -0,0 +1,127 @@
+#include "libraries/routing/endpoint_chooser.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+namespace agaterun::routing {
+
+BOOST_AUTO_TEST_SUITE(EndpointChooserTest)
+
+constexpr std::uint16_t kPort = 7300;
+
+NodeAddress NodeAt(std::uint32_t index) {
+  return {.ip = 0x0a010000 + index, .port = kPort};
+}
+
+// Three nodes of one service, one in each failure domain, and an origin that
+// is none of them.
+struct Fixture {
+  Fixture() {
+    std::vector<membership::EndpointEntry> entries;
+    for (std::uint32_t index = 1; index <= 3; ++index) {
+      entries.push_back(
+          {.id = std::to_string(index),
+           .service = "ledger",
+           .address = {.ip = NodeAt(index).ip, .port = 8000},
+           .failure_domain = std::string(1, static_cast<char>('a' + index - 1)),
+           .slots = 20,
+           .started_at = 5});
+    }
+    this->fleet.SetList(this->now, entries);
+  }
+
+  void Tell(std::uint32_t index, const decision::LoadReport& load) {
+    this->fleet.TakeLoad(this->now, NodeAt(index), load);
+  }
+
+  std::map<std::uint32_t, int> ChooseMany(int count) {
+    std::map<std::uint32_t, int> counts;
+    for (int draw = 0; draw < count; ++draw) {
+      const auto node =
+          this->chooser.Choose(this->now, "ledger", this->excluded, false);
+      if (node) {
+        counts[node->ip - NodeAt(0).ip] += 1;
+        this->fleet.AttemptSent(this->now, *node);
+      }
+    }
+    return counts;
+  }
+
+  Instant now = 100s;
+  SeededRandom random{11};
+  membership::Fleet fleet{
+      {.self = NodeAt(9), .node_port = kPort, .failure_domain = "a"}};
+  EndpointChooser chooser{{.self = NodeAt(9), .failure_domain = "a"},
+                          this->fleet,
+                          this->random};
+  std::vector<NodeAddress> excluded;
+};
+
+BOOST_FIXTURE_TEST_CASE(SpreadsRequestsOverAllWhenTheNearestFillsUp, Fixture) {
+  const auto counts = this->ChooseMany(60);
+  BOOST_TEST(counts.size() == 3U);
+  for (const auto& [index, count] : counts) {
+    BOOST_TEST(count >= 15, "endpoint " << index << " got " << count);
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(GivesAFastEndpointMoreThanASlowOne, Fixture) {
+  this->Tell(1, {.limit = 20, .service_time = 80ms});
+  this->Tell(2, {.limit = 20, .service_time = 20ms});
+  this->Tell(3, {.limit = 20, .service_time = 80ms});
+  const auto counts = this->ChooseMany(30);
+  BOOST_TEST(counts.at(2) >= 20);
+}
+
+BOOST_FIXTURE_TEST_CASE(LeavesOutEndpointsThatFailWhileOthersDoNot, Fixture) {
+  this->Tell(1, {.limit = 20, .service_time = 20ms, .failure_share = 0.5});
+  this->Tell(2, {.limit = 20, .service_time = 20ms});
+  this->Tell(3, {.limit = 20, .service_time = 20ms});
+  const auto counts = this->ChooseMany(30);
+  BOOST_TEST(!counts.contains(1));
+}
+
+BOOST_FIXTURE_TEST_CASE(SendsNothingWhereTheGateIsClosed, Fixture) {
+  this->Tell(1, {.limit = 20, .leaving = true});
+  this->Tell(2, {.limit = 20, .backend_up = false});
+  const auto counts = this->ChooseMany(30);
+  BOOST_TEST(counts.size() == 1U);
+  BOOST_TEST(counts.contains(3));
+}
+
+BOOST_FIXTURE_TEST_CASE(SendsNothingToWhomThePlatformListsAsLeaving, Fixture) {
+  auto entries = this->fleet.List();
+  entries[0].leaving = true;
+  this->fleet.SetList(this->now, entries);
+  BOOST_TEST(!this->ChooseMany(30).contains(1));
+}
+
+BOOST_FIXTURE_TEST_CASE(LeavesASilentNodeAloneUntilItSpeaks, Fixture) {
+  this->excluded = {NodeAt(2), NodeAt(3)};
+  BOOST_TEST(this->ChooseMany(1).size() == 1U);
+  this->now += 600ms;
+  BOOST_TEST(this->ChooseMany(1).empty());
+  this->Tell(1, {.running = 1, .limit = 20});
+  BOOST_TEST(this->ChooseMany(1).size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(TriesANodeAgainAfterALoss, Fixture) {
+  this->excluded = {NodeAt(2), NodeAt(3)};
+  BOOST_TEST(this->ChooseMany(1).size() == 1U);
+  this->fleet.AttemptEnded(this->now, NodeAt(1), /*silent=*/true);
+  BOOST_TEST(this->ChooseMany(1).empty());
+  this->now += 150ms;
+  BOOST_TEST(this->ChooseMany(1).size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(CountsTheSlotsOfUsableNodesOnly, Fixture) {
+  BOOST_TEST(this->chooser.UsableSlots(this->now, "ledger") == 60);
+  this->Tell(1, {.limit = 18});
+  this->Tell(2, {.limit = 18, .leaving = true});
+  BOOST_TEST(this->chooser.UsableSlots(this->now, "ledger") == 38);
+  BOOST_TEST(this->chooser.UsableSlots(this->now, "unknown") == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace agaterun::routing
