Routing: Keep the deep service evenly filled

Cause: load lines showed one endpoint of the deep service with 177 requests queued while two others idled. Answers at the deadline (504) counted as failures of the endpoint, a small share of failures outweighed any queue, and what was learned of an idle endpoint stayed as it was, so it never got work again. In a cut zone, nodes of other zones counted as usable whenever no attempt waited there, so trees began that could not end.

Change: a deadline is no failure; failures weigh 0.5 s beyond 5%; queueing costs double; what a gate learned fades in a second; a node without a word in 1.2 s of a small fleet has no slots.

--- a/libraries/admission/entry_admission.cc
+++ b/libraries/admission/entry_admission.cc
@@ -82,6 +82,23 @@
   return sum;
 }
 
+std::vector<EntryAdmission::HeldBack> EntryAdmission::HeldBackRoutes() const {
+  std::vector<HeldBack> held;
+  for (const auto& [route, entry] : this->admitted) {
+    const double least =
+        *std::min_element(entry.shares.begin(), entry.shares.end());
+    if (least < 1) {
+      const auto slots = this->capacity.find(entry.service);
+      held.push_back(
+          {.route = route,
+           .service = entry.service,
+           .share = least,
+           .capacity = slots == this->capacity.end() ? 0 : slots->second});
+    }
+  }
+  return held;
+}
+
 double EntryAdmission::ShareOf(std::string_view route, int rank) const {
   const auto found = this->admitted.find(route);
   return found == this->admitted.end()
--- a/libraries/admission/entry_admission.h
+++ b/libraries/admission/entry_admission.h
@@ -72,6 +72,15 @@
   // demand has been heard, in (0, 1].
   void Update(Instant now, double heard_share);
 
+  // A route of whose requests only a part begins, for the log.
+  struct HeldBack {
+    std::string route;
+    std::string service;  // That has the least room.
+    double share = 1;     // Of the rank that is cut most.
+    double capacity = 0;  // Slots of that service.
+  };
+  std::vector<HeldBack> HeldBackRoutes() const;
+
   // Part of the requests of a route and rank that begin.
   double ShareOf(std::string_view route, int rank) const;
 
--- a/libraries/base/log_event.h
+++ b/libraries/base/log_event.h
@@ -49,6 +49,7 @@
   kSheddingEnded = 602,
   kSuspectRecorded = 603,
   kFingerprintConvicted = 604,
+  kLoad = 610,
   kOperatorRequestRefused = 700,
 };
 
@@ -110,6 +111,7 @@
                 "suspect-recorded"},
     LogEventRow{LogEvent::kFingerprintConvicted, LogLevel::kError,
                 "fingerprint-convicted"},
+    LogEventRow{LogEvent::kLoad, LogLevel::kInfo, "load"},
     LogEventRow{LogEvent::kOperatorRequestRefused, LogLevel::kInfo,
                 "operator-request-refused"},
 };
--- a/libraries/calls/call_origin.cc
+++ b/libraries/calls/call_origin.cc
@@ -261,7 +261,8 @@
   this->fleet.TakeLoad(now, from, reply.load);
   const bool failed = reply.outcome == Outcome::kUnknown ||
                       reply.reason == Reason::kBackendRejected ||
-                      (answer != nullptr && answer->status >= kServerErrors);
+                      (answer != nullptr && answer->status >= kServerErrors &&
+                       answer->status != kGatewayTimeout);
   this->fleet.AttemptReplied(now, from, failed);
   call->attempt.reset();
   call->offered += reply.offered ? 1 : 0;
--- a/libraries/calls/visit_gate.cc
+++ b/libraries/calls/visit_gate.cc
@@ -1,6 +1,7 @@
 #include "libraries/calls/visit_gate.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace agaterun::calls {
@@ -26,10 +27,16 @@
 // Weight of the latest visit in the share of failures.
 constexpr double kFailureWeight = 0.05;
 
+// Time in which what was learned of the backend server loses half its weight
+// while nothing new is learned, and the weight that counts as none.
+constexpr Duration kLearnedHalfLife = 1s;
+constexpr double kForgotten = 0.3;
+
 // Counts of visits and nested calls are halved at this many.
 constexpr double kCountedVisits = 400;
 
 constexpr int kServerErrors = 500;
+constexpr int kGatewayTimeout = 504;
 
 // Between the id of a request and what a call of it adds.
 constexpr char kIdSeparator = '.';
@@ -177,11 +184,12 @@
   const auto& visit = this->visits.at(number);
   this->output.ReportVisit(LogEvent::kVisitRefused, *visit.http, reason,
                            now - visit.arrived);
-  this->Reply(visit, Outcome::kNotRun, reason, /*offered=*/false, nullptr);
+  this->Reply(now, visit, Outcome::kNotRun, reason, /*offered=*/false, nullptr);
   this->End(number);
 }
 
-void VisitGate::Reply(const Visit& visit,
+void VisitGate::Reply(Instant now,
+                      const Visit& visit,
                       Outcome outcome,
                       Reason reason,
                       bool offered,
@@ -193,7 +201,7 @@
   VisitReply reply{.attempt = visit.request.attempt,
                    .outcome = outcome,
                    .reason = reason,
-                   .load = this->Load(),
+                   .load = this->Load(now),
                    .offered = offered,
                    .costs = std::move(costs)};
   if (reason == Reason::kOverloaded) {
@@ -255,11 +263,12 @@
   auto& visit = this->visits.at(number);
   if (!visit.running) {
     this->queue.Remove(number);
-    this->Reply(visit, Outcome::kNotRun, Reason::kCancelled, false, nullptr);
+    this->Reply(now, visit, Outcome::kNotRun, Reason::kCancelled, false,
+                nullptr);
     this->End(number);
     return;
   }
-  this->Reply(visit, Outcome::kUnknown, Reason::kCancelled, true, nullptr);
+  this->Reply(now, visit, Outcome::kUnknown, Reason::kCancelled, true, nullptr);
   if (!visit.request.idempotent && visit.deadline > now) {
     // What must not run twice is not left half done either.
     visit.replied = true;
@@ -267,11 +276,13 @@
   }
   this->output.AbortExchange(number);
   this->queue.Ended(now - visit.started);
+  this->last_result = now;
   this->End(number);
   this->Pump(now);
 }
 
-void VisitGate::NoteResult(bool failed) {
+void VisitGate::NoteResult(Instant now, bool failed) {
+  this->last_result = now;
   this->failure_share +=
       ((failed ? 1.0 : 0.0) - this->failure_share) * kFailureWeight;
 }
@@ -280,28 +291,32 @@
   const auto& visit = this->visits.at(number);
   switch (ClassOf(*answer, this->dialect)) {
     case AnswerClass::kWhole:
-      this->NoteResult(answer->status >= kServerErrors);
+      // At the deadline a backend server answers so whatever its own state.
+      this->last_result = now;
+      if (answer->status != kGatewayTimeout) {
+        this->NoteResult(now, answer->status >= kServerErrors);
+      }
       this->queue.Ended(now - visit.started);
-      this->Reply(visit, Outcome::kCompleted, Reason::kNone, true,
+      this->Reply(now, visit, Outcome::kCompleted, Reason::kNone, true,
                   std::move(answer), this->CostsOf(now, visit));
       return;
     case AnswerClass::kNotRun:
-      this->NoteResult(true);
+      this->NoteResult(now, true);
       this->queue.Released();
-      this->Reply(visit, Outcome::kNotRun, Reason::kBackendRejected, true,
+      this->Reply(now, visit, Outcome::kNotRun, Reason::kBackendRejected, true,
                   nullptr);
       return;
     case AnswerClass::kOtherInstance:
       this->queue.Released();
-      this->Reply(visit, Outcome::kNotRun, Reason::kBackendDown, false,
+      this->Reply(now, visit, Outcome::kNotRun, Reason::kBackendDown, false,
                   nullptr);
       this->entry.reset();
       this->output.OnOtherInstance();
       return;
     case AnswerClass::kInvalid:
-      this->NoteResult(true);
+      this->NoteResult(now, true);
       this->queue.Ended(now - visit.started);
-      this->Reply(visit, Outcome::kUnknown, Reason::kBackendFailed, true,
+      this->Reply(now, visit, Outcome::kUnknown, Reason::kBackendFailed, true,
                   nullptr);
       return;
   }
@@ -324,15 +339,15 @@
       this->queue.Released();
       this->output.ReportVisit(LogEvent::kVisitRefused, *visit.http,
                                Reason::kBackendDown, now - visit.arrived);
-      this->Reply(visit, Outcome::kNotRun, Reason::kBackendDown, false,
+      this->Reply(now, visit, Outcome::kNotRun, Reason::kBackendDown, false,
                   nullptr);
       break;
     case ExchangeEnd::kBroken:
-      this->NoteResult(true);
+      this->NoteResult(now, true);
       this->queue.Ended(now - visit.started);
       this->output.ReportVisit(LogEvent::kVisitBroken, *visit.http,
                                Reason::kBackendFailed, now - visit.started);
-      this->Reply(visit, Outcome::kUnknown, Reason::kBackendFailed, true,
+      this->Reply(now, visit, Outcome::kUnknown, Reason::kBackendFailed, true,
                   nullptr);
       break;
   }
@@ -354,7 +369,7 @@
     const auto& visit = this->visits.at(number);
     this->output.AbortExchange(number);
     this->queue.Ended(now - visit.started);
-    this->Reply(visit, Outcome::kUnknown, Reason::kDeadlineExceeded, true,
+    this->Reply(now, visit, Outcome::kUnknown, Reason::kDeadlineExceeded, true,
                 nullptr);
     this->End(number);
   }
@@ -365,15 +380,20 @@
   return this->queue.NextExpiry();
 }
 
-LoadReport VisitGate::Load() const {
+LoadReport VisitGate::Load(Instant now) const {
+  // What was learned long ago says nothing of now: without this, a backend
+  // server that once was slow would get no work to show that it no longer is.
+  const double fresh = std::exp2(-ToSeconds(now - this->last_result) /
+                                 ToSeconds(kLearnedHalfLife));
+  const bool is_known = fresh > kForgotten;
   LoadReport load{
       .running = static_cast<std::uint32_t>(this->queue.Running()),
       .queued = static_cast<std::uint32_t>(this->queue.Queued()),
       .limit = static_cast<std::uint32_t>(this->queue.Limit()),
       .leaving = this->stopping || (this->entry && this->entry->leaving),
       .backend_up = this->entry.has_value() && this->reachable,
-      .service_time = this->queue.ServiceTime(),
-      .failure_share = this->failure_share};
+      .service_time = is_known ? this->queue.ServiceTime() : Duration{},
+      .failure_share = this->failure_share * fresh};
   if (this->started_visits > 0) {
     load.calls_per_request = this->nested_calls / this->started_visits;
   }
--- a/libraries/calls/visit_gate.h
+++ b/libraries/calls/visit_gate.h
@@ -112,7 +112,7 @@
   // A call of a running request came out.
   void CountNestedCall() { this->nested_calls += 1; }
 
-  decision::LoadReport Load() const;
+  decision::LoadReport Load(Instant now) const;
   std::size_t VisitsInFlight() const { return this->visits.size(); }
 
  private:
@@ -133,7 +133,8 @@
   void Start(Instant now, VisitNumber number);
   void Pump(Instant now);
   void RefuseQueued(Instant now, decision::Reason reason);
-  void Reply(const Visit& visit,
+  void Reply(Instant now,
+             const Visit& visit,
              decision::Outcome outcome,
              decision::Reason reason,
              bool offered,
@@ -144,7 +145,7 @@
   void End(VisitNumber number);
   std::vector<decision::ServiceCost> CostsOf(Instant now,
                                              const Visit& visit) const;
-  void NoteResult(bool failed);
+  void NoteResult(Instant now, bool failed);
 
   Options options;
   const Dialect& dialect;
@@ -158,6 +159,7 @@
   std::unordered_map<decision::AttemptId, VisitNumber> by_attempt;
   std::unordered_map<std::string, VisitNumber> by_request_id;  // Running ones.
   double failure_share = 0;
+  Instant last_result{};      // When the backend server last did anything.
   double started_visits = 0;  // Fading, like the calls they are held against.
   double nested_calls = 0;
 };
--- a/libraries/membership/fleet.cc
+++ b/libraries/membership/fleet.cc
@@ -14,6 +14,12 @@
 // Silence that tells of a loss. Heartbeats come several times in it.
 constexpr Duration kSilence = 1s;
 
+// A heartbeat comes from each node of a small fleet every 300 ms, from each of
+// a large one now and then.
+constexpr std::size_t kSmallFleet = 24;
+constexpr Duration kLongestPause = 1200ms;
+constexpr Duration kLongestPauseInLargeFleet = 10s;
+
 // Weight of the latest answer in the share of failures.
 constexpr double kFailureWeight = 0.08;
 
@@ -163,6 +169,11 @@
   }
 }
 
+Duration Fleet::LongestPause() const {
+  return this->nodes.size() <= kSmallFleet ? kLongestPause
+                                           : kLongestPauseInLargeFleet;
+}
+
 std::vector<NodeAddress> Fleet::SilentNodes(Instant now) const {
   std::vector<NodeAddress> silent;
   for (const auto& [address, node] : this->nodes) {
--- a/libraries/membership/fleet.h
+++ b/libraries/membership/fleet.h
@@ -91,6 +91,10 @@
   // An attempt ended without a word; `silent` when there was time for one.
   void AttemptEnded(Instant now, NodeAddress node, bool silent);
 
+  // Time without a word from a node after which it counts as cut off: several
+  // heartbeats of a small fleet, in which each hears all others.
+  Duration LongestPause() const;
+
   // Nodes that are silent although attempts wait there.
   std::vector<NodeAddress> SilentNodes(Instant now) const;
 
--- a/libraries/proxy/call_log.cc
+++ b/libraries/proxy/call_log.cc
@@ -93,4 +93,32 @@
               {"left_out", left_out}});
 }
 
+void CallLog::NoteLoad(
+    Instant now,
+    const decision::LoadReport& load,
+    const std::vector<admission::EntryAdmission::HeldBack>& held) {
+  constexpr Duration kInterval = 1s;
+  if ((held.empty() && load.queued == 0) ||
+      now - this->load_noted < kInterval) {
+    return;
+  }
+  this->load_noted = now;
+  std::string routes;
+  for (const auto& entry : held) {
+    char share[32];
+    std::snprintf(share, sizeof(share), "%.2f/%.0f", entry.share,
+                  entry.capacity);
+    routes += (routes.empty() ? "" : ",") + entry.route + ":" + entry.service +
+              ":" + share;
+  }
+  char failing[32];
+  std::snprintf(failing, sizeof(failing), "%.3f", load.failure_share);
+  Log(LogEvent::kLoad, {{"running", std::to_string(load.running)},
+                        {"queued", std::to_string(load.queued)},
+                        {"limit", std::to_string(load.limit)},
+                        {"service_ms", Milliseconds(load.service_time)},
+                        {"failing", failing},
+                        {"held_back", routes.empty() ? "-" : routes}});
+}
+
 }  // namespace agaterun::proxy
--- a/libraries/proxy/call_log.h
+++ b/libraries/proxy/call_log.h
@@ -26,6 +26,11 @@
                  decision::Reason reason,
                  Duration elapsed);
 
+  // Writes how loaded this node is, at most once a second.
+  void NoteLoad(Instant now,
+                const decision::LoadReport& load,
+                const std::vector<admission::EntryAdmission::HeldBack>& held);
+
   std::string Metrics() const { return this->metrics.ToText(); }
 
  private:
@@ -33,6 +38,7 @@
   // left out before it.
   bool Admit(Instant now, LogEvent event, std::string& left_out);
 
+  Instant load_noted{};
   std::map<LogEvent, std::unique_ptr<node::LogLimiter>> limiters;
   operator_interface::Metrics metrics;
 };
--- a/libraries/proxy/proxy_node.cc
+++ b/libraries/proxy/proxy_node.cc
@@ -354,7 +354,8 @@
   }
   const bool changes = is_new || entry.has_value() != known.has_value();
   this->gate.SetEntry(this->Now(), std::move(entry));
-  this->fleet.TakeLoad(this->Now(), this->settings.node, this->gate.Load());
+  this->fleet.TakeLoad(this->Now(), this->settings.node,
+                       this->gate.Load(this->Now()));
   if (changes) {
     this->SendHeartbeats();
   }
@@ -404,7 +405,8 @@
 void ProxyNode::OnBackendReachable(bool reachable) {
   Log(reachable ? LogEvent::kBackendUp : LogEvent::kBackendDown);
   this->gate.SetReachable(this->Now(), reachable);
-  this->fleet.TakeLoad(this->Now(), this->settings.node, this->gate.Load());
+  this->fleet.TakeLoad(this->Now(), this->settings.node,
+                       this->gate.Load(this->Now()));
   this->SendHeartbeats();
 }
 
@@ -452,10 +454,12 @@
 void ProxyNode::Tick() {
   this->OnTick();
   const auto now = this->Now();
-  this->fleet.TakeLoad(now, this->settings.node, this->gate.Load());
+  this->fleet.TakeLoad(now, this->settings.node, this->gate.Load(this->Now()));
   this->origin.UpdateAdmission(
       now, membership::StateSpread::HeardShare(this->fleet.All().size(),
                                                kHeartbeatsInDemand));
+  this->call_log.NoteLoad(now, this->gate.Load(now),
+                          this->origin.Admission().HeldBackRoutes());
   if (now >= this->next_heartbeat) {
     this->SendHeartbeats();
   }
@@ -494,7 +498,7 @@
       .from = this->settings.node,
       .incarnation = this->incarnation,
       .state_digest = this->spread.Version(),
-      .load = this->gate.Load(),
+      .load = this->gate.Load(this->Now()),
       .demand = this->origin.Admission().OwnDemand(this->Now())};
   for (const auto target :
        this->spread.HeartbeatTargets(this->FleetAddresses(), waiting)) {
@@ -520,7 +524,8 @@
   }
   this->left = true;
   this->gate.StartLeaving(this->Now());
-  this->fleet.TakeLoad(this->Now(), this->settings.node, this->gate.Load());
+  this->fleet.TakeLoad(this->Now(), this->settings.node,
+                       this->gate.Load(this->Now()));
   this->SendHeartbeats();
 }
 
@@ -558,7 +563,7 @@
                      {"in_flight", node.in_flight},
                      {"losses", node.losses}});
   }
-  const auto load = this->gate.Load();
+  const auto load = this->gate.Load(this->Now());
   const nlohmann::json state = {
       {"configuration", this->spread.Version()},
       {"endpoint_list", this->spread.ListRevision()},
--- a/libraries/routing/endpoint_chooser.cc
+++ b/libraries/routing/endpoint_chooser.cc
@@ -21,13 +21,20 @@
 // may find out.
 constexpr Duration kClosedTrusted = 1500ms;
 
+// A request that waits makes those behind it wait as well, while a free slot
+// elsewhere would be lost.
+constexpr double kQueueWeight = 2;
+
 // What was told of load and failures fades.
 constexpr Duration kLoadHalfLife = 500ms;
 constexpr Duration kFailureHalfLife = 1500ms;
 
 // Time that a failed request costs its caller, against which waiting is
 // weighed.
-constexpr double kFailureSeconds = 1.5;
+constexpr double kFailureSeconds = 0.5;
+
+// A share of failures that chance alone brings about says nothing.
+constexpr double kUsualFailures = 0.05;
 
 // Requests between failure domains cost bytes, and two ways more.
 constexpr double kOtherDomainSeconds = 0.004;
@@ -81,16 +88,32 @@
   if (node.in_flight > 0 && !is_self && now - node.waiting_since > kQuiet) {
     return false;
   }
-  if (node.losses > 0) {
+  if (!this->IsReachable(now, node)) {
+    // One attempt at a time finds out whether it is back.
     constexpr int kMostDoublings = 5;
     const auto skip =
-        std::min(kLongestSkip,
-                 kFirstSkip * (1 << std::min(node.losses - 1, kMostDoublings)));
+        node.losses == 0
+            ? Duration{}
+            : std::min(kLongestSkip,
+                       kFirstSkip *
+                           (1 << std::min(node.losses - 1, kMostDoublings)));
     return now - node.last_loss > skip && node.in_flight == 0;
   }
   return true;
 }
 
+bool EndpointChooser::IsReachable(Instant now, const FleetNode& node) const {
+  if (node.node == this->options.self) {
+    return true;
+  }
+  if (node.losses > 0 &&
+      (!node.last_heard || *node.last_heard <= node.last_loss)) {
+    return false;
+  }
+  return !node.last_heard ||
+         now - *node.last_heard < this->fleet.LongestPause();
+}
+
 double EndpointChooser::CostOf(Instant now,
                                const FleetNode& node,
                                double typical) const {
@@ -102,7 +125,7 @@
   }
   const double limit = std::max(1.0, LimitOf(node));
   const double ahead = std::max(0.0, PresentAt(now, node) + 1 - limit);
-  double cost = service + ahead * service / limit;
+  double cost = service + kQueueWeight * ahead * service / limit;
   // Near the limit a slot may be taken by another node's request meanwhile.
   const double use = std::min(1.0, PresentAt(now, node) / limit);
   cost += service * use * use * 0.5;
@@ -111,7 +134,7 @@
       node.load_told ? node.load.failure_share *
                            Freshness(now, *node.load_told, kFailureHalfLife)
                      : 0.0);
-  cost += failing * kFailureSeconds;
+  cost += std::max(0.0, failing - kUsualFailures) * kFailureSeconds;
   if (node.failure_domain != this->options.failure_domain) {
     cost += kOtherDomainSeconds;
   }
@@ -170,7 +193,7 @@
 double EndpointChooser::UsableSlots(Instant now, std::string_view service) {
   double slots = 0;
   for (const auto* node : this->fleet.NodesOf(service)) {
-    if (this->MayUse(now, *node)) {
+    if (this->MayUse(now, *node) && this->IsReachable(now, *node)) {
       slots += LimitOf(*node);
     }
   }
--- a/libraries/routing/endpoint_chooser.h
+++ b/libraries/routing/endpoint_chooser.h
@@ -40,6 +40,8 @@
 
  private:
   bool MayUse(Instant now, const membership::FleetNode& node) const;
+  // Nothing speaks against the node being there.
+  bool IsReachable(Instant now, const membership::FleetNode& node) const;
   double CostOf(Instant now,
                 const membership::FleetNode& node,
                 double typical) const;
--- a/tests/calls/visit_gate_test.cc
+++ b/tests/calls/visit_gate_test.cc
@@ -188,7 +188,32 @@
   this->EndFirst(ExchangeEnd::kAnswered, AnswerWith(421, {"Instance"}));
   this->Arrive(2);
   BOOST_TEST((this->ReasonOf(2) == Reason::kBackendDown));
-  BOOST_TEST(!this->gate.Load().backend_up);
+  BOOST_TEST(!this->gate.Load(this->now).backend_up);
+}
+
+BOOST_FIXTURE_TEST_CASE(ADeadlineThatPassedIsNoFailureOfTheServer, Fixture) {
+  for (decision::CallId call = 1; call <= 20; ++call) {
+    this->Arrive(call);
+    this->EndFirst(ExchangeEnd::kAnswered, AnswerWith(504, {"Stamp"}));
+  }
+  BOOST_TEST(this->gate.Load(this->now).failure_share == 0);
+  this->Arrive(21);
+  this->EndFirst(ExchangeEnd::kAnswered, AnswerWith(500, {"Stamp"}));
+  BOOST_TEST(this->gate.Load(this->now).failure_share > 0);
+}
+
+// Otherwise a backend server that was slow or failed once gets no work that
+// would show that it no longer does.
+BOOST_FIXTURE_TEST_CASE(WhatWasLearnedIsForgottenWithoutNews, Fixture) {
+  this->Arrive(1);
+  this->now += 700ms;
+  this->EndFirst(ExchangeEnd::kAnswered, AnswerWith(500, {"Stamp"}));
+  BOOST_TEST((this->gate.Load(this->now).service_time == 700ms));
+  const double failing = this->gate.Load(this->now).failure_share;
+  this->now += 1s;
+  BOOST_TEST(this->gate.Load(this->now).failure_share < 0.51 * failing);
+  this->now += 1s;
+  BOOST_TEST((this->gate.Load(this->now).service_time == 0ms));
 }
 
 BOOST_FIXTURE_TEST_CASE(ALeavingBackendServerGetsNoNewWork, Fixture) {
@@ -230,9 +255,9 @@
   this->Arrive(1, Importance::kCritical, /*idempotent=*/false);
   this->gate.OnCancelled(this->now, {.origin = kOrigin, .call = 1});
   BOOST_TEST(this->output.aborted.empty());
-  BOOST_TEST(this->gate.Load().running == 1U);
+  BOOST_TEST(this->gate.Load(this->now).running == 1U);
   this->EndFirst(ExchangeEnd::kAnswered, AnswerWith(200, {"Stamp"}));
-  BOOST_TEST(this->gate.Load().running == 0U);
+  BOOST_TEST(this->gate.Load(this->now).running == 0U);
 }
 
 BOOST_FIXTURE_TEST_CASE(ACancelledOneThatWaitsIsNotRun, Fixture) {
--- a/tests/routing/endpoint_chooser_test.cc
+++ b/tests/routing/endpoint_chooser_test.cc
@@ -81,6 +81,17 @@
   BOOST_TEST(!counts.contains(1));
 }
 
+// A deep service near its limit: two of three endpoints fail now and then.
+// Sending all to the third fills its queue while the others idle.
+BOOST_FIXTURE_TEST_CASE(FewFailuresDoNotOutweighALongQueue, Fixture) {
+  this->Tell(1,
+             {.running = 20, .queued = 100, .limit = 20, .service_time = 20ms});
+  this->Tell(2, {.limit = 20, .service_time = 40ms, .failure_share = 0.12});
+  this->Tell(3, {.limit = 20, .service_time = 40ms, .failure_share = 0.12});
+  const auto counts = this->ChooseMany(20);
+  BOOST_TEST(!counts.contains(1));
+}
+
 BOOST_FIXTURE_TEST_CASE(SendsNothingWhereTheGateIsClosed, Fixture) {
   this->Tell(1, {.limit = 20, .leaving = true});
   this->Tell(2, {.limit = 20, .backend_up = false});
