--- a/libraries/admission/entry_admission.cc
+++ b/libraries/admission/entry_admission.cc
@@ -17,7 +17,7 @@
 
 // Part of the slots that requests are admitted for. The rest is for chance:
 // arrivals come in clumps, and service times differ.
-constexpr double kUsedShare = 0.9;
+constexpr double kUsedShare = 0.95;
 
 // Less slot time is taken for a route's mistaken visit to a service.
 constexpr Duration kLeastSlotTime = 500us;
@@ -140,7 +140,7 @@
     this->costs.NoteDeadline(request.route, *request.deadline);
   }
   const auto* known = this->costs.Find(request.route);
-  if (known == nullptr) {
+  if (known == nullptr || known->samples == 0) {
     return {};
   }
   Verdict verdict{.standing = this->StandingOf(request, *known)};
--- a/libraries/admission/route_costs.cc
+++ b/libraries/admission/route_costs.cc
@@ -6,14 +6,15 @@
 
 namespace {
 
-// Weight of the latest request in the means.
-constexpr double kWeight = 0.05;
+// Requests that the means remember. The first ones count alike, so that one
+// slow request does not stand for all.
+constexpr int kRemembered = 20;
 
 constexpr std::size_t kMostRoutes = 4096;
 constexpr std::size_t kMostServices = 64;
 
-Duration Blend(Duration mean, Duration sample) {
-  return mean + std::chrono::duration_cast<Duration>((sample - mean) * kWeight);
+Duration Blend(Duration mean, Duration sample, int samples) {
+  return mean + (sample - mean) / samples;
 }
 
 }  // namespace
@@ -33,26 +34,25 @@
                        const std::vector<decision::ServiceCost>& sample,
                        Duration latency) {
   auto& costs = *this->At(route);
-  const bool is_first = costs.latency == Duration{};
-  costs.latency = is_first ? latency : Blend(costs.latency, latency);
+  costs.samples = std::min(costs.samples + 1, kRemembered);
+  costs.latency = Blend(costs.latency, latency, costs.samples);
   for (auto& known : costs.services) {
     const auto found = std::find_if(sample.begin(), sample.end(),
                                     [&](const decision::ServiceCost& cost) {
                                       return cost.service == known.service;
                                     });
     known.slot_time = Blend(
-        known.slot_time, found == sample.end() ? Duration{} : found->slot_time);
+        known.slot_time, found == sample.end() ? Duration{} : found->slot_time,
+        costs.samples);
   }
   for (const auto& cost : sample) {
     const bool is_known = std::any_of(
         costs.services.begin(), costs.services.end(),
         [&](const auto& known) { return known.service == cost.service; });
     if (!is_known && costs.services.size() < kMostServices) {
-      auto added = cost;
-      if (!is_first) {
-        added.slot_time = Blend(Duration{}, cost.slot_time);
-      }
-      costs.services.push_back(std::move(added));
+      costs.services.push_back(
+          {.service = cost.service,
+           .slot_time = Blend(Duration{}, cost.slot_time, costs.samples)});
     }
   }
 }
--- a/libraries/admission/route_costs.h
+++ b/libraries/admission/route_costs.h
@@ -22,6 +22,7 @@
     // Longest time that a caller of the route gave: what a caller has who
     // comes for the first time.
     Duration longest_deadline{};
+    int samples = 0;  // Learned from, up to those that the mean remembers.
   };
 
   // A request of the route was completed.
--- a/libraries/http/response_parser.cc
+++ b/libraries/http/response_parser.cc
@@ -28,7 +28,8 @@
   if (start == std::string::npos) {
     return std::nullopt;
   }
-  const auto digits = std::string_view(*value).substr(start + kTimeout.size());
+  std::string_view digits = *value;
+  digits.remove_prefix(start + kTimeout.size());
   int seconds = 0;
   const auto [end, error] =
       std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
--- a/libraries/proxy/http_listener.h
+++ b/libraries/proxy/http_listener.h
@@ -81,7 +81,6 @@
   bool CloseOneIdle();
   void Sweep();
 
-  asio::io_context& io;
   Options options;
   decision::CallId& call_ids;
   RequestSink& sink;
--- a/tests/admission/route_costs_test.cc
+++ b/tests/admission/route_costs_test.cc
@@ -25,7 +25,9 @@
 
 BOOST_AUTO_TEST_CASE(FollowsAChangeWithoutJumpingAtOneTail) {
   RouteCosts costs;
-  costs.Learn("draft", {{"ledger", 100ms}}, 300ms);
+  for (int request = 0; request < 40; ++request) {
+    costs.Learn("draft", {{"ledger", 100ms}}, 300ms);
+  }
   costs.Learn("draft", {{"ledger", 500ms}}, 300ms);
   BOOST_TEST((CostAt(costs, "ledger") == 120ms));
   for (int request = 0; request < 100; ++request) {
@@ -34,6 +36,15 @@
   BOOST_TEST((CostAt(costs, "ledger") > 490ms));
 }
 
+BOOST_AUTO_TEST_CASE(OneSlowFirstRequestDoesNotStandForAll) {
+  RouteCosts costs;
+  costs.Learn("draft", {{"ledger", 1s}}, 2s);
+  for (int request = 0; request < 9; ++request) {
+    costs.Learn("draft", {{"ledger", 100ms}}, 300ms);
+  }
+  BOOST_TEST((CostAt(costs, "ledger") < 200ms));
+}
+
 BOOST_AUTO_TEST_CASE(ForgetsAServiceThatIsNoLongerOnThePath) {
   RouteCosts costs;
   costs.Learn("draft", {{"ledger", 100ms}}, 300ms);
