--- a/libraries/routing/endpoint_chooser.cc
+++ b/libraries/routing/endpoint_chooser.cc
@@ -37,7 +37,7 @@
 constexpr double kUsualFailures = 0.05;
 
 // Requests between failure domains cost bytes, and two ways more.
-constexpr double kOtherDomainSeconds = 0.004;
+constexpr double kOtherDomainSeconds = 0.015;
 
 constexpr double kDefaultServiceSeconds = 0.05;
 
