Membership: Don't let an old list bring back a removed entry

The gate learned from the store at 4.010 s that its backend server's entry was removed; at 4.133 s its connections to the store were reset, and a list that a peer passed on, from before the removal, was believed because nothing else was known.

Ruled out: a late watch (it told within 4 ms of the removal).

Change: LocalEntry remembers which life of the server the store itself ended; no list brings that back.

--- a/libraries/proxy/proxy_node.cc
+++ b/libraries/proxy/proxy_node.cc
@@ -324,7 +324,8 @@
   if (known && known->started_at > listed->started_at) {
     return;
   }
-  if (!this->platform_reached && !known) {
+  if (!this->platform_reached && !known &&
+      this->local_entry.MayBelieveList(*listed)) {
     // Nobody can tell more than the list that a peer passed on.
     this->SetLocalEntry(listed);
   }
@@ -337,7 +338,7 @@
        endpoint.entry->address != *this->settings.backend_server)) {
     endpoint.entry.reset();
   }
-  this->SetLocalEntry(std::move(endpoint.entry));
+  this->SetLocalEntry(this->local_entry.TakeWord(endpoint));
 }
 
 void ProxyNode::SetLocalEntry(std::optional<membership::EndpointEntry> entry) {
--- a/libraries/proxy/proxy_node.h
+++ b/libraries/proxy/proxy_node.h
@@ -18,6 +18,7 @@
 #include "libraries/calls/visit_gate.h"
 #include "libraries/membership/directory_source.h"
 #include "libraries/membership/fleet.h"
+#include "libraries/membership/local_entry.h"
 #include "libraries/membership/state_spread.h"
 #include "libraries/node/log_limiter.h"
 #include "libraries/node/node_links.h"
@@ -163,6 +164,7 @@
   calls::CallOrigin origin;
   CallLog call_log;
   membership::StateSpread spread;
+  membership::LocalEntry local_entry;
   decision::CallId call_ids = 1;
   std::unordered_map<decision::AttemptId, NodeAddress> visit_origins;
   asio::steady_timer wake_timer;
