Node: Keep heartbeats within one datagram, whatever they tell

Heartbeats with what callers ask for and with crashes could grow past 1400 bytes and then never arrived; and a load report changed by a millionth when it was written again, as its shares were cut, not rounded.

Change: a heartbeat leaves out crashes and then the routes with least requests until it fits; nodes tell at most 14 routes; shares are rounded.

Ruled out: the tests' bounds; both are as they were. The case AHeartbeatOfABusyNodeGetsThrough fails without the change, and PayloadsDecodeToWhatTheyEncodeOrAreRefused and HeartbeatKeepsToOneDatagram failed before it.

Measured: suites node, admission, membership, calls pass in the debug build.

--- a/libraries/admission/entry_admission.cc
+++ b/libraries/admission/entry_admission.cc
@@ -35,7 +35,7 @@
 constexpr Duration kFirstAttempt = 20ms;
 
 constexpr std::size_t kMostRoutes = 4096;
-constexpr std::size_t kMostToldRoutes = 128;
+constexpr std::size_t kMostToldRoutes = 14;
 constexpr double kThousand = 1000;
 
 }  // namespace
@@ -187,21 +187,30 @@
 }
 
 std::vector<RouteDemand> EntryAdmission::OwnDemand(Instant now) {
-  std::vector<RouteDemand> demand;
+  std::vector<std::pair<double, RouteDemand>> demand;
   for (auto& [route, meter] : this->own) {
     const auto rate = meter.Rate(now);
     RouteDemand entry{.route = route};
+    double sum = 0;
     for (std::size_t rank = 0; rank < rate.size(); ++rank) {
+      sum += rate[rank];
       entry.thousandths[rank] =
           static_cast<std::uint32_t>(rate[rank] * kThousand);
     }
-    const bool is_asked_for =
-        std::any_of(rate.begin(), rate.end(), [](double r) { return r > 0; });
-    if (is_asked_for && demand.size() < kMostToldRoutes) {
-      demand.push_back(std::move(entry));
+    if (sum > 0) {
+      demand.emplace_back(sum, std::move(entry));
     }
   }
-  return demand;
+  // A heartbeat has room for some; those with most requests decide.
+  std::sort(demand.begin(), demand.end(),
+            [](const auto& a, const auto& b) { return a.first > b.first; });
+  std::vector<RouteDemand> told;
+  for (auto& [sum, entry] : demand) {
+    if (told.size() < kMostToldRoutes) {
+      told.push_back(std::move(entry));
+    }
+  }
+  return told;
 }
 
 EntryAdmission::Demand EntryAdmission::TotalDemand(Instant now,
--- a/libraries/decision/messages.h
+++ b/libraries/decision/messages.h
@@ -72,8 +72,12 @@
   void serialize(Archive& archive) {
     // Parts in a million: the archive has whole numbers alone.
     constexpr double kParts = 1e6;
-    auto failing = static_cast<std::uint32_t>(this->failure_share * kParts);
-    auto calls = static_cast<std::uint32_t>(this->calls_per_request * kParts);
+    // Rounded, so that what was read is written again as it came.
+    constexpr double kHalf = 0.5;
+    auto failing =
+        static_cast<std::uint32_t>(this->failure_share * kParts + kHalf);
+    auto calls =
+        static_cast<std::uint32_t>(this->calls_per_request * kParts + kHalf);
     archive(this->running, this->queued, this->limit, this->leaving,
             this->backend_up, this->service_time, failing, calls);
     this->failure_share = failing / kParts;
--- a/libraries/node/heartbeat_socket.cc
+++ b/libraries/node/heartbeat_socket.cc
@@ -28,6 +28,27 @@
   return {asio::ip::address_v4(address.ip), address.port};
 }
 
+// Leaves out what has no room in one datagram, crashes and the last routes
+// first: they are told again, and the sender's own state must get through.
+OutgoingFrame EncodeWithinDatagram(decision::Heartbeat heartbeat) {
+  heartbeat.convicted.resize(
+      std::min(heartbeat.convicted.size(), kMostConvicted));
+  auto frame = EncodeHeartbeat(heartbeat);
+  while (frame.bytes.size() > HeartbeatSocket::kDatagramBytes) {
+    if (!heartbeat.crashes.empty()) {
+      heartbeat.crashes.pop_back();
+    } else if (!heartbeat.demand.empty()) {
+      heartbeat.demand.pop_back();
+    } else if (!heartbeat.convicted.empty()) {
+      heartbeat.convicted.pop_back();
+    } else {
+      break;
+    }
+    frame = EncodeHeartbeat(heartbeat);
+  }
+  return frame;
+}
+
 }  // namespace
 
 HeartbeatSocket::HeartbeatSocket(asio::io_context& io)
@@ -123,10 +144,9 @@
 }
 
 void HeartbeatSocket::Send(NodeAddress to, decision::Heartbeat heartbeat) {
-  heartbeat.convicted.resize(
-      std::min(heartbeat.convicted.size(), kMostConvicted));
-  auto frame = EncodeHeartbeat(heartbeat);
-  frame.Seal(Duration::zero(), heartbeat.state_digest);
+  const auto digest = heartbeat.state_digest;
+  auto frame = EncodeWithinDatagram(std::move(heartbeat));
+  frame.Seal(Duration::zero(), digest);
   asio::post(this->strand, [self = this->shared_from_this(), to,
                             bytes = std::move(frame.bytes)] {
     // A full buffer drops the datagram, as the network may.
--- a/tests/node/node_links_test.cc
+++ b/tests/node/node_links_test.cc
@@ -134,6 +134,22 @@
   BOOST_TEST(right.links->Counters().bytes_received <= 1400U);
 }
 
+BOOST_AUTO_TEST_CASE(AHeartbeatOfABusyNodeGetsThrough) {
+  IoThreads threads;
+  TestNode left(threads.io);
+  TestNode right(threads.io);
+  decision::Heartbeat heartbeat{.from = left.options.self};
+  for (int number = 0; number < 60; ++number) {
+    heartbeat.demand.push_back({.route = "route-" + std::to_string(number)});
+    heartbeat.crashes.push_back(
+        {.id = 1, .fingerprints = std::vector<std::uint64_t>(128)});
+  }
+  left.links->SendHeartbeat(right.options.self, heartbeat);
+  BOOST_REQUIRE(right.observer.WaitFor(
+      [](const Heard& heard) { return !heard.heartbeats.empty(); }));
+  BOOST_TEST(right.links->Counters().bytes_received <= 1400U);
+}
+
 BOOST_AUTO_TEST_CASE(CloseWritesWhatIsQueued) {
   IoThreads threads;
   TestNode origin(threads.io);
