Platform: Ask the store less often: staggered watches, an entry checked by the list

All watches start anew when the store is back. Not seen failing first: the tests of long watches, which the former code has no counterpart for; AWatchThatTheStoreForgotIsAskedAnewSoon passes with both.

--- a/tests/platform_adapter/store_reader_test.cc
+++ b/tests/platform_adapter/store_reader_test.cc
@@ -54,14 +54,18 @@
     return fakes::RunUntil(this->io, done);
   }
 
+  explicit Fixture(Duration watch_wait = 300ms) : watch_wait(watch_wait) {}
+
+  Duration watch_wait;
   asio::io_context io{1};
   fakes::FakeStore store{this->io};
   SeededRandom random{4};
   RecordingObserver observer;
   StoreReader reader{this->io,
                      {.store = this->store.Address(),
-                      .configuration_wait = 300ms,
-                      .local_endpoint_wait = 300ms,
+                      .local_endpoint_wait = this->watch_wait,
+                      .configuration_wait = this->watch_wait,
+                      .configuration_spread = 0ms,
                       .list_interval = 20ms,
                       .answer_timeout = 200ms,
                       .retry_interval = 20ms},
@@ -69,6 +73,11 @@
                      this->observer};
 };
 
+// Watches that never end by themselves.
+struct LongWatches : Fixture {
+  LongWatches() : Fixture(20s) {}
+};
+
 BOOST_FIXTURE_TEST_CASE(FollowsTheConfiguration, Fixture) {
   this->store.Put("op/config", Configuration(3));
   this->reader.Start();
@@ -166,6 +175,48 @@
   BOOST_TEST(this->observer.local.id == "me2");
 }
 
+BOOST_FIXTURE_TEST_CASE(WatchesAnewWhenTheStoreIsBack, LongWatches) {
+  this->store.Put("op/config", Configuration(3));
+  this->reader.Start();
+  BOOST_TEST(this->Until([&] {
+    return this->observer.reached == true && this->store.Watches() > 0;
+  }));
+  this->store.LoseWatches();
+  this->store.FailWith(503);
+  BOOST_TEST(this->Until([&] { return this->observer.reached == false; }));
+  this->store.Put("op/config", Configuration(4));
+  this->store.FailWith(0);
+  BOOST_TEST(this->Until([&] { return this->observer.version == 4; }));
+}
+
+// The answer of the watch is lost alone: the list shows what it told.
+BOOST_FIXTURE_TEST_CASE(ReadsItsEntryAgainWhenTheListIsNewer, LongWatches) {
+  this->store.Put("servers/me", Endpoint("ready"));
+  this->reader.Start();
+  this->reader.WatchLocalEndpoint("me");
+  BOOST_TEST(this->Until([&] { return this->store.Watches() > 0; }));
+  this->store.LoseWatches();
+  this->store.Put("servers/me", Endpoint("draining"));
+  BOOST_TEST(this->Until([&] {
+    return this->observer.local.entry && this->observer.local.entry->leaving;
+  }));
+  this->store.LoseWatches();
+  this->store.Delete("servers/me");
+  BOOST_TEST(this->Until([&] { return !this->observer.local.entry; }));
+}
+
+// When the store forgets its history, it tells a watch that waits nothing more,
+// not even that it has to start anew.
+BOOST_FIXTURE_TEST_CASE(AWatchThatTheStoreForgotIsAskedAnewSoon, Fixture) {
+  this->store.Put("op/config", Configuration(3));
+  this->reader.Start();
+  BOOST_TEST(this->Until([&] { return this->store.Watches() > 0; }));
+  this->store.LoseWatches();
+  this->store.DropHistory();
+  this->store.Put("op/config", Configuration(4));
+  BOOST_TEST(this->Until([&] { return this->observer.version == 4; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace agaterun::platform_adapter
