--- a/libraries/admission/slot_queue.cc
+++ b/libraries/admission/slot_queue.cc
@@ -95,19 +95,6 @@
   return all;
 }
 
-std::optional<SlotQueue::Id> SlotQueue::TakeWorseThan(int rank) {
-  if (this->queue.empty()) {
-    return std::nullopt;
-  }
-  const auto last = std::prev(this->queue.end());
-  if (last->first.rank <= rank) {
-    return std::nullopt;
-  }
-  const auto id = last->second.id;
-  this->Erase(last);
-  return id;
-}
-
 void SlotQueue::Remove(Id id) {
   const auto position = this->positions.find(id);
   if (position != this->positions.end()) {
--- a/libraries/admission/slot_queue.h
+++ b/libraries/admission/slot_queue.h
@@ -52,8 +52,6 @@
   std::vector<Id> TakeExpired(Instant now);
   // Takes out all, in order.
   std::vector<Id> TakeAll();
-  // Takes out the last request of a rank larger than `rank`, if any.
-  std::optional<Id> TakeWorseThan(int rank);
   void Remove(Id id);
   std::optional<Instant> NextExpiry() const;
 
--- a/libraries/calls/visit_gate.cc
+++ b/libraries/calls/visit_gate.cc
@@ -1,9 +1,10 @@
 #include "libraries/calls/visit_gate.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
+#include "libraries/base/freshness.h"
+
 namespace agaterun::calls {
 
 namespace {
@@ -388,8 +389,7 @@
 LoadReport VisitGate::Load(Instant now) const {
   // What was learned long ago says nothing of now: without this, a backend
   // server that once was slow would get no work to show that it no longer is.
-  const double fresh = std::exp2(-ToSeconds(now - this->last_result) /
-                                 ToSeconds(kLearnedHalfLife));
+  const double fresh = Freshness(now - this->last_result, kLearnedHalfLife);
   const bool is_known = fresh > kForgotten;
   LoadReport load{
       .running = static_cast<std::uint32_t>(this->queue.Running()),
--- a/libraries/decision/endpoint_score.cc
+++ b/libraries/decision/endpoint_score.cc
@@ -1,7 +1,8 @@
 #include "libraries/decision/endpoint_score.h"
 
 #include <algorithm>
-#include <cmath>
+
+#include "libraries/base/freshness.h"
 
 namespace agaterun::decision {
 
@@ -62,14 +63,12 @@
 
 constexpr Duration kUnknownLatency = 10ms;
 
-// 1 at age zero, halved by each half-life.
-double Freshness(Instant now, Instant told, Duration half_life) {
+// What was never told has no weight.
+double WeightOf(Instant now, Instant told, Duration half_life) {
   if (told == Instant{}) {
     return 0;
   }
-  const auto age = std::max(Duration{}, now - told);
-  return std::exp2(-static_cast<double>(age.count()) /
-                   static_cast<double>(half_life.count()));
+  return Freshness(now - told, half_life);
 }
 
 double LatencyOf(Instant now, const PeerState& peer, Duration typical) {
@@ -80,7 +79,7 @@
   }
   // An old observation fades, so that an endpoint which was slow once is
   // tried again.
-  const double fresh = Freshness(now, peer.latency_observed, kLatencyHalfLife);
+  const double fresh = WeightOf(now, peer.latency_observed, kLatencyHalfLife);
   const double seen =
       usual + (static_cast<double>(peer.latency.count()) - usual) * fresh;
   return std::max(seen, usual * kFastestOfTypical);
@@ -157,12 +156,12 @@
   const double own = 1 + peer.in_flight / share;
   const double reported =
       1 + kReportWeight * ReportedUse(peer, basis.slots) *
-              Freshness(now, peer.load_reported, kReportHalfLife);
+              WeightOf(now, peer.load_reported, kReportHalfLife);
   const double refused =
-      1 + kRefusalWeight * Freshness(now, peer.last_refused, kRefusalHalfLife);
+      1 + kRefusalWeight * WeightOf(now, peer.last_refused, kRefusalHalfLife);
   const double failing =
       1 + kFailureWeight * peer.failure_share *
-              Freshness(now, peer.latency_observed, kLatencyHalfLife);
+              WeightOf(now, peer.latency_observed, kLatencyHalfLife);
   const double silent = IsSilent(now, peer) ? kSilenceCost : 1;
   const double distance =
       kDistanceCost[static_cast<std::size_t>(basis.proximity)];
--- a/libraries/membership/directory_source.h
+++ b/libraries/membership/directory_source.h
@@ -38,6 +38,8 @@
       std::string text) = 0;
   virtual void OnEndpointList(EndpointList list) = 0;
   virtual void OnLocalEndpoint(LocalEndpoint endpoint) = 0;
+  // A configuration was published that can't be read; the one in force stays.
+  virtual void OnConfigurationUnreadable(std::string why) = 0;
   // Told at each change: whether the platform answers this node.
   virtual void OnPlatformReached(bool reached, std::string why) = 0;
 };
--- /dev/null
+++ b/libraries/proxy/node_state.cc
@@ -0,0 +1,42 @@
+#include "libraries/proxy/node_state.h"
+
+#include <nlohmann/json.hpp>
+
+namespace agaterun::proxy {
+
+std::string NodeState::ToJson() const {
+  nlohmann::json listed = nlohmann::json::array();
+  for (const auto& [address, node] : this->nodes) {
+    listed.push_back({{"node", address.ToString()},
+                      {"service", node.service},
+                      {"failure_domain", node.failure_domain},
+                      {"listed", node.listed},
+                      {"leaving", node.load.leaving || node.listed_as_leaving},
+                      {"backend_up", node.load.backend_up},
+                      {"running", node.load.running},
+                      {"queued", node.load.queued},
+                      {"limit", node.load.limit},
+                      {"in_flight", node.in_flight},
+                      {"losses", node.losses}});
+  }
+  const nlohmann::json state = {
+      {"configuration", this->configuration},
+      {"endpoint_list", this->endpoint_list},
+      {"platform_reached", this->platform_reached},
+      {"stopping", this->stopping},
+      {"calls_in_flight", this->calls_in_flight},
+      {"gate",
+       {{"service", this->service},
+        {"instance", this->instance},
+        {"running", this->load.running},
+        {"queued", this->load.queued},
+        {"limit", this->load.limit},
+        {"backend_up", this->load.backend_up},
+        {"leaving", this->load.leaving},
+        {"failure_share", this->load.failure_share},
+        {"connections_made", this->connections_made}}},
+      {"nodes", listed}};
+  return state.dump(1) + "\n";
+}
+
+}  // namespace agaterun::proxy
--- /dev/null
+++ b/libraries/proxy/node_state.h
@@ -0,0 +1,33 @@
+#ifndef LIBRARIES_PROXY_NODE_STATE_H_
+#define LIBRARIES_PROXY_NODE_STATE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
+#include "libraries/base/node_address.h"
+#include "libraries/decision/messages.h"
+#include "libraries/membership/fleet.h"
+
+namespace agaterun::proxy {
+
+// What an operator sees who asks a node for its state.
+struct NodeState {
+  std::uint64_t configuration = 0;  // Version in force.
+  std::uint64_t endpoint_list = 0;  // Revision known.
+  bool platform_reached = false;
+  bool stopping = false;
+  std::size_t calls_in_flight = 0;
+  std::string service;   // Of the backend server on this host.
+  std::string instance;  // Empty while none is known.
+  decision::LoadReport load;
+  std::uint64_t connections_made = 0;  // To the backend server.
+  const std::unordered_map<NodeAddress, membership::FleetNode>& nodes;
+
+  std::string ToJson() const;
+};
+
+}  // namespace agaterun::proxy
+
+#endif  // LIBRARIES_PROXY_NODE_STATE_H_
--- a/libraries/proxy/proxy_node.cc
+++ b/libraries/proxy/proxy_node.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <asio/post.hpp>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "libraries/base/log.h"
@@ -24,16 +23,6 @@
 // Heartbeats of one node in the time for which its demand is trusted.
 constexpr int kHeartbeatsInDemand = 5;
 
-// After the signal to stop, other nodes may use the backend server for this
-// long.
-constexpr Duration kServeOnTime = 1200ms;
-// Callers need this long to notice that they are to go elsewhere.
-constexpr Duration kLeaveTime = 2300ms;
-// A short grace is divided into as many parts: serving on, leaving, the rest.
-constexpr int kStopParts = 4;
-// Kept between the last moment of a planned stop and the kill.
-constexpr Duration kStopMargin = 500ms;
-
 // Time for which a connection to another node waits for it.
 constexpr Duration kLinkTimeout = 1s;
 
@@ -115,7 +104,7 @@
       ReadinessServer::Source{
           .is_ready = [this] { return this->IsReady(); },
           .metrics = [this] { return this->call_log.Metrics(); },
-          .state = [this] { return this->StateText(); }});
+          .state = [this] { return this->State().ToJson(); }});
   if (auto listening = this->callers->Listen(); !listening) {
     return listening;
   }
@@ -130,7 +119,7 @@
 
 void ProxyNode::SetSettings(const NodeSettings& new_settings) {
   this->settings.service = new_settings.service;
-  this->settings.stop_grace = new_settings.stop_grace;
+  this->planned_stop.SetGrace(new_settings.stop_grace);
   this->gate.SetService(new_settings.service);
   this->origin.SetService(new_settings.service);
   this->origin.SetRepeats({.ratio = new_settings.repeat_ratio,
@@ -140,7 +129,7 @@
 }
 
 bool ProxyNode::IsReady() const {
-  return !this->stopping_since && this->spread.Version() > 0 &&
+  return !this->planned_stop.HasStarted() && this->spread.Version() > 0 &&
          this->spread.ListRevision() > 0;
 }
 
@@ -267,8 +256,7 @@
                                 *std::move(configuration)),
                             item->text);
     } else {
-      Log(LogEvent::kConfigurationRefused,
-          {{"why", configuration.error().message}});
+      this->OnConfigurationUnreadable(configuration.error().message);
     }
   }
   if (this->platform_reached) {
@@ -369,10 +357,11 @@
   }
 }
 
+void ProxyNode::OnConfigurationUnreadable(std::string why) {
+  Log(LogEvent::kConfigurationRefused, {{"why", why}});
+}
+
 void ProxyNode::OnPlatformReached(bool reached, std::string why) {
-  if (reached == this->platform_reached && why.empty()) {
-    return;
-  }
   this->platform_reached = reached;
   Log(reached ? LogEvent::kPlatformReached : LogEvent::kPlatformUnreachable,
       {{"why", why}});
@@ -482,8 +471,7 @@
       peer) {
     this->links->RequestTicketItems(*peer, {});
   }
-  this->LeaveWhenDue();
-  this->CheckStopped();
+  this->FollowPlannedStop();
   this->tick_timer.expires_after(kTickInterval);
   this->tick_timer.async_wait([this](const std::error_code& error) {
     if (!error) {
@@ -522,81 +510,41 @@
 }
 
 void ProxyNode::Stop() {
-  if (this->stopping_since) {
+  if (this->planned_stop.HasStarted()) {
     return;
   }
   Log(LogEvent::kStopping);
-  this->stopping_since = this->Now();
+  this->planned_stop.Start(this->Now());
   this->callers->StartClosing();
 }
 
-void ProxyNode::LeaveWhenDue() {
-  const auto serve_on =
-      std::min(kServeOnTime, this->settings.stop_grace / kStopParts);
-  if (!this->stopping_since || this->left ||
-      this->Now() - *this->stopping_since < serve_on) {
-    return;
-  }
-  this->left = true;
-  this->gate.StartLeaving(this->Now());
-  this->fleet.TakeLoad(this->Now(), this->settings.node,
-                       this->gate.Load(this->Now()));
-  this->SendHeartbeats();
-}
-
-void ProxyNode::CheckStopped() {
-  if (!this->stopping_since || this->stopped) {
-    return;
+void ProxyNode::FollowPlannedStop() {
+  const auto now = this->Now();
+  if (this->planned_stop.TakeLeaving(now)) {
+    this->gate.StartLeaving(now);
+    this->fleet.TakeLoad(now, this->settings.node, this->gate.Load(now));
+    this->SendHeartbeats();
   }
-  const auto elapsed = this->Now() - *this->stopping_since;
   const bool is_idle =
       this->origin.CallsInFlight() == 0 && this->gate.VisitsInFlight() == 0;
-  const auto leave_time =
-      std::min(kLeaveTime, this->settings.stop_grace * 2 / kStopParts);
-  const bool is_last_moment =
-      elapsed >= this->settings.stop_grace - kStopMargin;
-  if ((elapsed >= leave_time && this->left && is_idle) || is_last_moment) {
-    this->stopped = true;
+  if (this->planned_stop.TakeEnd(now, is_idle)) {
     this->callers->StopAccepting();
     Log(LogEvent::kStopped);
     this->on_stopped();
   }
 }
 
-std::string ProxyNode::StateText() {
-  nlohmann::json nodes = nlohmann::json::array();
-  for (const auto& [address, node] : this->fleet.All()) {
-    nodes.push_back({{"node", address.ToString()},
-                     {"service", node.service},
-                     {"failure_domain", node.failure_domain},
-                     {"listed", node.listed},
-                     {"leaving", node.load.leaving || node.listed_as_leaving},
-                     {"backend_up", node.load.backend_up},
-                     {"running", node.load.running},
-                     {"queued", node.load.queued},
-                     {"limit", node.load.limit},
-                     {"in_flight", node.in_flight},
-                     {"losses", node.losses}});
-  }
-  const auto load = this->gate.Load(this->Now());
-  const nlohmann::json state = {
-      {"configuration", this->spread.Version()},
-      {"endpoint_list", this->spread.ListRevision()},
-      {"platform_reached", this->platform_reached},
-      {"stopping", this->stopping_since.has_value()},
-      {"calls_in_flight", this->origin.CallsInFlight()},
-      {"gate",
-       {{"service", this->gate.Service()},
-        {"instance", this->gate.Entry() ? this->gate.Entry()->id : ""},
-        {"running", load.running},
-        {"queued", load.queued},
-        {"limit", load.limit},
-        {"backend_up", load.backend_up},
-        {"leaving", load.leaving},
-        {"failure_share", load.failure_share},
-        {"connections_made", this->pool->ConnectionsMade()}}},
-      {"nodes", nodes}};
-  return state.dump(1) + "\n";
+NodeState ProxyNode::State() const {
+  return {.configuration = this->spread.Version(),
+          .endpoint_list = this->spread.ListRevision(),
+          .platform_reached = this->platform_reached,
+          .stopping = this->planned_stop.HasStarted(),
+          .calls_in_flight = this->origin.CallsInFlight(),
+          .service = this->gate.Service(),
+          .instance = this->gate.Entry() ? this->gate.Entry()->id : "",
+          .load = this->gate.Load(this->Now()),
+          .connections_made = this->pool->ConnectionsMade(),
+          .nodes = this->fleet.All()};
 }
 
 }  // namespace agaterun::proxy
--- a/libraries/proxy/proxy_node.h
+++ b/libraries/proxy/proxy_node.h
@@ -25,6 +25,8 @@
 #include "libraries/proxy/call_log.h"
 #include "libraries/proxy/endpoint_pool.h"
 #include "libraries/proxy/http_listener.h"
+#include "libraries/proxy/node_state.h"
+#include "libraries/proxy/planned_stop.h"
 #include "libraries/proxy/readiness_server.h"
 
 namespace agaterun::proxy {
@@ -90,6 +92,7 @@
       std::string text) override;
   void OnEndpointList(membership::EndpointList list) override;
   void OnLocalEndpoint(membership::LocalEndpoint endpoint) override;
+  void OnConfigurationUnreadable(std::string why) override;
   void OnPlatformReached(bool reached, std::string why) override;
 
   // EndpointObserver.
@@ -136,7 +139,7 @@
 
   Instant Now() const { return this->clock.Now(); }
   bool IsReady() const;
-  std::string StateText();
+  NodeState State() const;
   std::string RequestIdOf(const HttpRequest& request) const;
   // Follows the entry at the backend server's address in the list.
   void FollowLocalEntry();
@@ -145,9 +148,7 @@
   void ArmWakeTimer();
   void OnTick();
   void Tick();
-  // Takes no more requests of other nodes once a stop has gone on for a while.
-  void LeaveWhenDue();
-  void CheckStopped();
+  void FollowPlannedStop();
   void SendHeartbeats();
   std::vector<NodeAddress> FleetAddresses() const;
 
@@ -172,9 +173,7 @@
   Instant armed_for = Instant::max();
   Instant next_heartbeat{};
   bool platform_reached = false;
-  std::optional<Instant> stopping_since;
-  bool left = false;
-  bool stopped = false;
+  PlannedStop planned_stop;
 
   std::unique_ptr<node::NodeLinks> links;
   std::unique_ptr<EndpointPool> pool;
--- a/libraries/routing/endpoint_chooser.cc
+++ b/libraries/routing/endpoint_chooser.cc
@@ -1,7 +1,8 @@
 #include "libraries/routing/endpoint_chooser.h"
 
 #include <algorithm>
-#include <cmath>
+
+#include "libraries/base/freshness.h"
 
 namespace agaterun::routing {
 
@@ -48,11 +49,6 @@
 // all choose the same.
 constexpr double kNoise = 0.1;
 
-double Freshness(Instant now, Instant told, Duration half_life) {
-  const auto age = std::max(Duration{}, now - told);
-  return std::exp2(-ToSeconds(age) / ToSeconds(half_life));
-}
-
 double LimitOf(const FleetNode& node) {
   return node.load_told && node.load.limit > 0
              ? static_cast<double>(node.load.limit)
@@ -64,7 +60,7 @@
   double told = 0;
   if (node.load_told) {
     told = static_cast<double>(node.load.running + node.load.queued) *
-           Freshness(now, *node.load_told, kLoadHalfLife);
+           Freshness(now - *node.load_told, kLoadHalfLife);
   }
   return std::max<double>(told + node.sent_since_told, node.in_flight);
 }
@@ -130,9 +126,9 @@
   const double use = std::min(1.0, PresentAt(now, node) / limit);
   cost += service * use * use * 0.5;
   const double failing = std::max(
-      node.failure_share * Freshness(now, node.failure_told, kFailureHalfLife),
+      node.failure_share * Freshness(now - node.failure_told, kFailureHalfLife),
       node.load_told ? node.load.failure_share *
-                           Freshness(now, *node.load_told, kFailureHalfLife)
+                           Freshness(now - *node.load_told, kFailureHalfLife)
                      : 0.0);
   cost += std::max(0.0, failing - kUsualFailures) * kFailureSeconds;
   if (node.failure_domain != this->options.failure_domain) {
--- a/libraries/routing/route_table.cc
+++ b/libraries/routing/route_table.cc
@@ -28,7 +28,6 @@
     : configuration(std::move(configuration)) {
   for (const auto& route : this->configuration->routes) {
     this->by_host[NormalHost(route.host)].push_back(&route);
-    this->by_name[route.name] = &route;
   }
   for (auto& [host, routes] : this->by_host) {
     std::stable_sort(routes.begin(), routes.end(),
@@ -53,9 +52,4 @@
   return nullptr;
 }
 
-const Route* RouteTable::FindByName(std::string_view name) const {
-  const auto found = this->by_name.find(name);
-  return found == this->by_name.end() ? nullptr : found->second;
-}
-
 }  // namespace agaterun::routing
--- a/libraries/routing/route_table.h
+++ b/libraries/routing/route_table.h
@@ -21,16 +21,10 @@
   // request line has it. The route lives as long as the table.
   const Route* Find(std::string_view host, std::string_view target) const;
 
-  // The route called `name`, or nullptr.
-  const Route* FindByName(std::string_view name) const;
-
-  const Configuration& InForce() const { return *this->configuration; }
-
  private:
   std::shared_ptr<const Configuration> configuration;
   // By lower-case host, longest prefix first.
   std::unordered_map<std::string, std::vector<const Route*>> by_host;
-  std::unordered_map<std::string_view, const Route*> by_name;
 };
 
 }  // namespace agaterun::routing
--- a/tests/platform_adapter/store_reader_test.cc
+++ b/tests/platform_adapter/store_reader_test.cc
@@ -26,6 +26,9 @@
     this->local = std::move(endpoint);
     ++this->locals;
   }
+  void OnConfigurationUnreadable(std::string why) override {
+    this->unreadable = std::move(why);
+  }
   void OnPlatformReached(bool reached, std::string /*why*/) override {
     this->reached = reached;
   }
@@ -37,6 +40,7 @@
   membership::LocalEndpoint local;
   int locals = 0;
   std::optional<bool> reached;
+  std::string unreadable;
 };
 
 std::string Configuration(int version) {
@@ -115,6 +119,7 @@
   this->store.Put("op/config", "{");
   this->store.Put("op/config", Configuration(5));
   BOOST_TEST(this->Until([&] { return this->observer.version == 5; }));
+  BOOST_TEST(!this->observer.unreadable.empty());
 }
 
 BOOST_FIXTURE_TEST_CASE(ComesBackAfterEachFailureOfTheStore, Fixture) {
