--- a/libraries/base/settings.cc
+++ b/libraries/base/settings.cc
@@ -19,8 +19,8 @@
 constexpr double kMostExtraRepeats = 1e6;
 
 std::vector<std::string> SectionNames() {
-  return {"node",       "caller",    "backend_server", "platform", "operator",
-          "experiment", "readiness", "repeats",        "stop"};
+  return {"node",       "caller", "backend_server", "platform", "operator",
+          "experiment", "probe",  "metrics",        "repeats",  "stop"};
 }
 
 // Stands for a section that the text lacks, so that its required keys are
@@ -44,8 +44,11 @@
       this->ReadBackendServer();
     }
     if (this->settings.platform_interface == PlatformInterface::kStore) {
-      this->settings.readiness =
-          this->ReadAddressOnly("readiness", "127.0.1.1:8302");
+      this->settings.probe = this->ReadAddressOnly("probe", "127.0.1.1:8302");
+      if (this->document.Find("metrics") != nullptr) {
+        this->settings.metrics =
+            this->ReadAddressOnly("metrics", "127.0.1.1:9464");
+      }
     } else {
       this->settings.operator_address =
           this->ReadAddressOnly("operator", "127.0.1.1:8200");
@@ -252,7 +255,8 @@
     check("backend_server", "nested_address", this->settings.nested);
     check("operator", "address", this->settings.operator_address);
     check("platform", "address", this->settings.platform);
-    check("readiness", "address", this->settings.readiness);
+    check("probe", "address", this->settings.probe);
+    check("metrics", "address", this->settings.metrics);
   }
 
   const IniDocument& document;
--- a/libraries/base/settings.h
+++ b/libraries/base/settings.h
@@ -53,8 +53,13 @@
   NodeAddress platform;  // `address`
   PlatformInterface platform_interface = PlatformInterface::kTickets;
 
-  // [readiness], required with `interface = store`.
-  NodeAddress readiness;  // `address`
+  // [probe], required with `interface = store`: whether this process takes
+  // requests, its counters and its state.
+  NodeAddress probe;  // `address`
+
+  // [metrics], optional with `interface = store`: the same on an address that
+  // does not change, for whoever gathers counters.
+  std::optional<NodeAddress> metrics;  // `address`
 
   // [repeats], optional: what all nodes together may send again to a service
   // within a window, per request and beyond.
--- a/libraries/calls/call_origin.cc
+++ b/libraries/calls/call_origin.cc
@@ -483,6 +483,7 @@
                             .attempts = static_cast<int>(call.attempts),
                             .elapsed = now - call.arrived,
                             .nested = call.parent.has_value(),
+                            .importance = call.importance,
                             .last_node = call.last_node};
   const auto [first, last] = this->deadlines.equal_range(call.deadline);
   for (auto entry = first; entry != last; ++entry) {
--- a/libraries/calls/call_origin.h
+++ b/libraries/calls/call_origin.h
@@ -34,6 +34,7 @@
   int attempts = 0;
   Duration elapsed{};
   bool nested = false;
+  decision::Importance importance = decision::Importance::kNormal;
   NodeAddress last_node;
 };
 
--- a/libraries/calls/dialect.h
+++ b/libraries/calls/dialect.h
@@ -17,7 +17,7 @@
   std::string answer_stamp;       // On whatever a backend server answers.
   std::string not_run;            // The backend server did not run it.
   std::string instance;           // Which backend server answers.
-  std::string readiness_path;
+  std::string probe_path;
 };
 
 // What an answer of a backend server says.
--- a/libraries/proxy/call_log.cc
+++ b/libraries/proxy/call_log.cc
@@ -47,8 +47,8 @@
                        const std::string& request_id,
                        const calls::CallSummary& summary) {
   const auto outcome = OutcomeOf(summary);
-  this->metrics.RecordCall(decision::Importance::kNormal, outcome,
-                           summary.reason, summary.elapsed);
+  this->metrics.RecordCall(summary.importance, outcome, summary.reason,
+                           summary.elapsed);
   if (summary.status < kServerErrors) {
     return;
   }
--- a/libraries/proxy/readiness_server.cc
+++ b/libraries/proxy/probe_server.cc
@@ -1,4 +1,4 @@
-#include "libraries/proxy/readiness_server.h"
+#include "libraries/proxy/probe_server.h"
 
 #include <utility>
 
@@ -19,9 +19,7 @@
 
 }  // namespace
 
-ReadinessServer::ReadinessServer(asio::io_context& io,
-                                 Options options,
-                                 Source source)
+ProbeServer::ProbeServer(asio::io_context& io, Options options, Source source)
     : options(std::move(options)),
       source(std::move(source)),
       listener(io,
@@ -30,8 +28,8 @@
                this->call_ids,
                *this) {}
 
-HttpResponse ReadinessServer::Respond(const HttpRequest& request) const {
-  if (request.target == this->options.readiness_path) {
+HttpResponse ProbeServer::Respond(const HttpRequest& request) const {
+  if (request.target == this->options.probe_path) {
     return this->source.is_ready()
                ? TextResponse(kOk, "ready\n", "text/plain")
                : TextResponse(kUnavailable, "not ready\n", "text/plain");
@@ -46,12 +44,12 @@
   return TextResponse(kNotFound, "try /metrics or /state\n", "text/plain");
 }
 
-void ReadinessServer::OnRequest(decision::CallId call,
-                                HttpRequest request,
-                                NodeAddress /*caller*/) {
+void ProbeServer::OnRequest(decision::CallId call,
+                            HttpRequest request,
+                            NodeAddress /*caller*/) {
   this->listener.Answer(call, this->Respond(request));
 }
 
-void ReadinessServer::OnCallerGone(decision::CallId /*call*/) {}
+void ProbeServer::OnCallerGone(decision::CallId /*call*/) {}
 
 }  // namespace agaterun::proxy
--- a/libraries/proxy/readiness_server.h
+++ b/libraries/proxy/probe_server.h
@@ -1,5 +1,5 @@
-#ifndef LIBRARIES_PROXY_READINESS_SERVER_H_
-#define LIBRARIES_PROXY_READINESS_SERVER_H_
+#ifndef LIBRARIES_PROXY_PROBE_SERVER_H_
+#define LIBRARIES_PROXY_PROBE_SERVER_H_
 
 #include <asio/io_context.hpp>
 #include <functional>
@@ -12,11 +12,11 @@
 
 // Answers whether this process takes requests, and shows its counters and
 // state to operators, all by GET.
-class ReadinessServer : private RequestSink {
+class ProbeServer : private RequestSink {
  public:
   struct Options {
     NodeAddress listen;
-    std::string readiness_path;  // 200 when ready, else 503.
+    std::string probe_path;  // 200 when ready, else 503.
   };
 
   // What the server shows; called for each request.
@@ -26,7 +26,7 @@
     std::function<std::string()> state;    // JSON, for people.
   };
 
-  ReadinessServer(asio::io_context& io, Options options, Source source);
+  ProbeServer(asio::io_context& io, Options options, Source source);
 
   // Fails with ErrorKind::kInputOutput.
   Result<void> Listen() { return this->listener.Listen(); }
@@ -46,4 +46,4 @@
 
 }  // namespace agaterun::proxy
 
-#endif  // LIBRARIES_PROXY_READINESS_SERVER_H_
+#endif  // LIBRARIES_PROXY_PROBE_SERVER_H_
--- a/libraries/proxy/proxy_node.cc
+++ b/libraries/proxy/proxy_node.cc
@@ -97,26 +97,36 @@
           .listen = this->settings.caller,
           .most_connections = this->settings.caller_connections},
       this->call_ids, *this);
-  this->readiness = std::make_unique<ReadinessServer>(
-      this->io,
-      ReadinessServer::Options{.listen = this->settings.readiness,
-                               .readiness_path = this->dialect.readiness_path},
-      ReadinessServer::Source{
-          .is_ready = [this] { return this->IsReady(); },
-          .metrics = [this] { return this->call_log.Metrics(); },
-          .state = [this] { return this->State().ToJson(); }});
+  this->probe_server = this->MakeProbeServer(this->settings.probe);
   if (auto listening = this->callers->Listen(); !listening) {
     return listening;
   }
-  if (auto listening = this->readiness->Listen(); !listening) {
+  if (auto listening = this->probe_server->Listen(); !listening) {
     return listening;
   }
+  if (this->settings.metrics) {
+    this->metrics_server = this->MakeProbeServer(*this->settings.metrics);
+    if (auto listening = this->metrics_server->Listen(); !listening) {
+      return listening;
+    }
+  }
   this->source = make_source(this->io, this->random, *this);
   this->source->Start();
   this->Tick();
   return {};
 }
 
+std::unique_ptr<ProbeServer> ProxyNode::MakeProbeServer(NodeAddress listen) {
+  return std::make_unique<ProbeServer>(
+      this->io,
+      ProbeServer::Options{.listen = listen,
+                           .probe_path = this->dialect.probe_path},
+      ProbeServer::Source{
+          .is_ready = [this] { return this->IsReady(); },
+          .metrics = [this] { return this->call_log.Metrics(); },
+          .state = [this] { return this->State().ToJson(); }});
+}
+
 void ProxyNode::SetSettings(const NodeSettings& new_settings) {
   this->settings.service = new_settings.service;
   this->planned_stop.SetGrace(new_settings.stop_grace);
--- a/libraries/proxy/proxy_node.h
+++ b/libraries/proxy/proxy_node.h
@@ -27,7 +27,7 @@
 #include "libraries/proxy/http_listener.h"
 #include "libraries/proxy/node_state.h"
 #include "libraries/proxy/planned_stop.h"
-#include "libraries/proxy/readiness_server.h"
+#include "libraries/proxy/probe_server.h"
 
 namespace agaterun::proxy {
 
@@ -135,6 +135,7 @@
             NodeSettings settings,
             calls::Dialect dialect,
             std::function<void()> on_stopped);
+  std::unique_ptr<ProbeServer> MakeProbeServer(NodeAddress listen);
   Result<void> Open(const SourceFactory& make_source);
 
   Instant Now() const { return this->clock.Now(); }
@@ -178,7 +179,8 @@
   std::unique_ptr<node::NodeLinks> links;
   std::unique_ptr<EndpointPool> pool;
   std::unique_ptr<HttpListener> callers;
-  std::unique_ptr<ReadinessServer> readiness;
+  std::unique_ptr<ProbeServer> probe_server;
+  std::unique_ptr<ProbeServer> metrics_server;
   std::unique_ptr<membership::DirectorySource> source;
 };
 
--- a/libraries/retries/repeat_budget.h
+++ b/libraries/retries/repeat_budget.h
@@ -14,6 +14,8 @@
 // in any window of time. Every node keeps to a part of its own, computed from
 // its own requests and the size of the fleet, so the sum stays within the
 // bound although no node tells another what it spends.
+// FIXME: The parts are even, but calls of a deep service come from the nodes of
+// few services; the parts of all others lie idle.
 class RepeatBudget {
  public:
   struct Options {
--- a/tests/base/settings_test.cc
+++ b/tests/base/settings_test.cc
@@ -152,6 +152,57 @@
                       "node.ini") == "node.ini:7: [node] threads: remove it");
 }
 
+constexpr const char kStore[] = R"([node]
+host = drafts-a-1
+region = cascadia
+failure_domain = a
+address = 127.0.1.1:7400
+
+[caller]
+address = 127.0.1.1:8000
+
+[backend_server]
+service = drafts
+address = 127.0.1.1:9000
+
+[platform]
+interface = store
+address = 127.0.0.1:8300
+
+[probe]
+address = 127.0.1.1:8302
+
+[metrics]
+address = 127.0.1.1:9464
+
+[repeats]
+ratio = 0.2
+extra = 47
+window = 10s
+
+[stop]
+grace = 6s
+)";
+
+BOOST_AUTO_TEST_CASE(ReadsSettingsForAStore) {
+  const auto read = ParseSettings(kStore);
+  BOOST_TEST_REQUIRE(read.has_value());
+  BOOST_TEST((read->platform_interface == PlatformInterface::kStore));
+  BOOST_TEST(read->probe.ToString() == "127.0.1.1:8302");
+  BOOST_TEST_REQUIRE(read->metrics.has_value());
+  BOOST_TEST(read->metrics->ToString() == "127.0.1.1:9464");
+  BOOST_TEST(read->repeat_extra == 47);
+  BOOST_TEST((read->stop_grace == 6s));
+}
+
+BOOST_AUTO_TEST_CASE(RefusesTwoListenersOfAStoreNodeOnOneAddress) {
+  std::string text = kStore;
+  text.replace(text.find("9464"), 4, "8302");
+  const auto read = ParseSettings(text);
+  BOOST_TEST_REQUIRE(!read.has_value());
+  BOOST_TEST(read.error().size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace agaterun
--- a/tests/calls/test_dialect.h
+++ b/tests/calls/test_dialect.h
@@ -14,7 +14,7 @@
           .answer_stamp = "Stamp",
           .not_run = "Not-Run",
           .instance = "Instance",
-          .readiness_path = "/ready"};
+          .probe_path = "/ready"};
 }
 
 }  // namespace agaterun::calls
--- /dev/null
+++ b/tests/platform_adapter/hostile_store_test.cc
@@ -0,0 +1,85 @@
+// Seeded spoiled replies for all that decodes what the store sends.
+// AGATERUN_FUZZ_INPUTS is the number of inputs of each test.
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <string_view>
+
+#include "platform/configuration_json.h"
+#include "platform/endpoint_json.h"
+#include "platform/store_calls.h"
+#include "tests/fakes/spoil.h"
+
+namespace agaterun::platform_adapter {
+
+BOOST_AUTO_TEST_SUITE(HostileStoreTest)
+
+constexpr std::uint64_t kSeed = 20261204;
+constexpr std::uint64_t kDefaultInputs = 5'000;
+constexpr std::string_view kTokens = R"({}[]":,-0123456789.eE\ntrufals)";
+
+constexpr std::string_view kConfiguration =
+    R"({"Version":7,"Resources":[{"TypeUrl":"Routes","Metadata":{"Name":"r"},)"
+    R"("Spec":{"Host":"a.example","Prefix":"/read/","Kind":"safe",)"
+    R"("Timeout":"1000ms","TargetLatency":"1.5s","Priority":2,"Split":)"
+    R"([{"Service":"one","Weight":90},{"Service":"two","Weight":10}],)"
+    R"("MaxAttempts":2}},{"TypeUrl":"Limits","Metadata":{},"Spec":)"
+    R"({"MaxHeaderBytes":16384,"HeaderTimeout":"3000ms"}}]})";
+constexpr std::string_view kEndpoint =
+    R"({"Service":"one","Address":"10.0.0.9:8080","Zone":"a","Version":"v1",)"
+    R"("Slots":9,"State":"ready","ColdLeft":"1500ms","Seq":4})";
+constexpr std::string_view kRange =
+    R"({"items":[{"Key":"servers/a","Value":"e30=","Revision":5,"Created":3,)"
+    R"("Lease":0}],"Truncated":true,"CurrentRev":9})";
+constexpr std::string_view kWatch =
+    R"({"events":[{"Key":"servers/a","Value":"e30=","Revision":5},)"
+    R"({"Key":"servers/b","Revision":6,"Deleted":true}],"CurrentRev":9})";
+
+// Decodes spoiled copies: each is either taken or refused with a reason.
+template <typename Decode>
+void DecodeSpoiled(std::string_view valid, const Decode& decode) {
+  SeededRandom random(kSeed);
+  std::uint64_t refused = 0;
+  const auto inputs = fakes::FuzzInputs(kDefaultInputs);
+  for (std::uint64_t input = 0; input < inputs; ++input) {
+    const auto decoded = decode(fakes::Spoil(valid, kTokens, random));
+    if (!decoded) {
+      ++refused;
+      BOOST_REQUIRE_MESSAGE(!decoded.error().message.empty(),
+                            "seed " << kSeed << " input " << input);
+    }
+  }
+  BOOST_TEST(decode(std::string(valid)).has_value());
+  BOOST_TEST(refused > inputs / 20);
+}
+
+HttpResponse ResponseWith(std::string body) {
+  return {.status = 200, .body = std::move(body)};
+}
+
+BOOST_AUTO_TEST_CASE(SpoiledConfigurationsAreRefusedOrRead) {
+  DecodeSpoiled(kConfiguration, [](const std::string& text) {
+    return DecodeConfigurationJson(text);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(SpoiledEntriesAreRefusedOrRead) {
+  DecodeSpoiled(kEndpoint, [](const std::string& text) {
+    return DecodeEndpointJson("a", text);
+  });
+}
+
+BOOST_AUTO_TEST_CASE(SpoiledPagesAreRefusedOrRead) {
+  DecodeSpoiled(kRange, [](std::string text) {
+    return ReadRangeResponse(ResponseWith(std::move(text)));
+  });
+}
+
+BOOST_AUTO_TEST_CASE(SpoiledWatchesAreRefusedOrRead) {
+  DecodeSpoiled(kWatch, [](std::string text) {
+    return ReadWatchResponse(ResponseWith(std::move(text)));
+  });
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace agaterun::platform_adapter
