Admission: Learn what a route needs from failed requests too, until one succeeds

Cause: costs were learned from successful requests alone. Change: a gate that refuses a call for lack of room tells what it would have taken; the request that made the call counts it once; the entry learns from failed requests while none has succeeded. The tests name the load; the former code has no way to learn from a failed request, so they were not run against it.

--- a/libraries/admission/entry_admission.cc
+++ b/libraries/admission/entry_admission.cc
@@ -176,8 +176,9 @@
 
 void EntryAdmission::Learn(std::string_view route,
                            const std::vector<decision::ServiceCost>& sample,
-                           Duration latency) {
-  this->costs.Learn(route, sample, latency);
+                           Duration latency,
+                           bool succeeded) {
+  this->costs.Learn(route, sample, latency, succeeded);
 }
 
 void EntryAdmission::SetPeerDemand(Instant now,
--- a/libraries/admission/entry_admission.h
+++ b/libraries/admission/entry_admission.h
@@ -53,7 +53,8 @@
   // A request of the route was completed with these costs.
   void Learn(std::string_view route,
              const std::vector<decision::ServiceCost>& costs,
-             Duration latency);
+             Duration latency,
+             bool succeeded);
 
   // Slots of each service that can be used, by what is known of its nodes.
   void SetCapacity(std::map<std::string, double, std::less<>> slots) {
--- a/libraries/admission/route_costs.cc
+++ b/libraries/admission/route_costs.cc
@@ -32,8 +32,17 @@
 
 void RouteCosts::Learn(std::string_view route,
                        const std::vector<decision::ServiceCost>& sample,
-                       Duration latency) {
+                       Duration latency,
+                       bool succeeded) {
   auto& costs = *this->At(route);
+  if (!succeeded && costs.samples > 0 && !costs.from_failures) {
+    return;
+  }
+  if (succeeded && costs.from_failures) {
+    costs.services.clear();
+    costs.samples = 0;
+  }
+  costs.from_failures = !succeeded;
   costs.samples = std::min(costs.samples + 1, kRemembered);
   costs.latency = Blend(costs.latency, latency, costs.samples);
   for (auto& known : costs.services) {
--- a/libraries/admission/route_costs.h
+++ b/libraries/admission/route_costs.h
@@ -13,7 +13,9 @@
 namespace agaterun::admission {
 
 // What one request of each route takes, learned from completed ones: slot time
-// at every service on its path, and how long its answer took.
+// at every service on its path, and how long its answer took. Until a first one
+// succeeds, failed ones tell at least some of it: or a route of which all
+// requests fail for lack of room would never be known to need any.
 class RouteCosts {
  public:
   struct Costs {
@@ -23,12 +25,14 @@
     // comes for the first time.
     Duration longest_deadline{};
     int samples = 0;  // Learned from, up to those that the mean remembers.
+    bool from_failures = false;
   };
 
-  // A request of the route was completed.
+  // A request of the route was completed, with success or not.
   void Learn(std::string_view route,
              const std::vector<decision::ServiceCost>& sample,
-             Duration latency);
+             Duration latency,
+             bool succeeded);
 
   // A caller of the route came with this much time.
   void NoteDeadline(std::string_view route, Duration left);
--- a/libraries/calls/call_origin.cc
+++ b/libraries/calls/call_origin.cc
@@ -272,13 +272,15 @@
   this->fleet.AttemptReplied(now, from, failed);
   call->attempt.reset();
   call->offered += reply.offered ? 1 : 0;
-  if (call->parent && !reply.costs.empty()) {
+  if (reply.outcome == Outcome::kNotRun) {
+    call->missed_costs = reply.costs;
+  } else if (call->parent && !reply.costs.empty()) {
     this->output.NestedCallEnded(call->parent->visit, reply.costs);
   }
   if (reply.outcome == Outcome::kCompleted && answer != nullptr) {
-    if (!call->parent && answer->status < kServerErrors) {
-      this->admission.Learn(call->route->name, reply.costs,
-                            now - call->arrived);
+    if (!call->parent) {
+      this->admission.Learn(call->route->name, reply.costs, now - call->arrived,
+                            answer->status < kServerErrors);
     }
     // A leaf that failed may do better elsewhere; one with calls of its own
     // has most likely failed by them.
@@ -475,6 +477,10 @@
                         Call& call,
                         const HttpResponse& response,
                         Reason reason) {
+  if (call.parent && response.status == kUnavailable &&
+      !call.missed_costs.empty()) {
+    this->output.NestedCallEnded(call.parent->visit, call.missed_costs);
+  }
   const CallSummary summary{.route = call.route->name,
                             .service = call.service,
                             .full_service = call.full_service,
--- a/libraries/calls/call_origin.h
+++ b/libraries/calls/call_origin.h
@@ -135,6 +135,8 @@
     std::optional<Attempt> attempt;
     decision::Reason reason = decision::Reason::kNone;
     Duration retry_after{};
+    // What the call would have taken at the gate that refused it last.
+    std::vector<decision::ServiceCost> missed_costs;
     std::string full_service;
     NodeAddress last_node;
   };
--- a/libraries/calls/visit_gate.cc
+++ b/libraries/calls/visit_gate.cc
@@ -211,6 +211,8 @@
   if (reason == Reason::kOverloaded) {
     constexpr int kLastRank = 1000;
     reply.retry_after = this->queue.ExpectedWait(kLastRank);
+    reply.costs = {{.service = this->options.service,
+                    .slot_time = this->queue.ServiceTime()}};
   }
   this->output.SendReply(visit.from, std::move(reply), std::move(answer));
 }
--- a/libraries/decision/messages.h
+++ b/libraries/decision/messages.h
@@ -190,7 +190,8 @@
   std::optional<Binding> moved_to;
   // The request reached the backend server, whatever became of it there.
   bool offered = false;
-  // Slot time that the visit took, of a completed one.
+  // Slot time that the visit took, of a completed one, or would have taken, of
+  // one refused for lack of room.
   std::vector<ServiceCost> costs;
 
   template <class Archive>
--- a/tests/admission/entry_admission_test.cc
+++ b/tests/admission/entry_admission_test.cc
@@ -29,10 +29,10 @@
     this->admission.SetCapacity(
         {{"drafts", 400}, {"dispatch", 400}, {"vault", 400}, {"ledger", 60}});
     this->admission.Learn("draft", {{"drafts", 200ms}, {"ledger", 160ms}},
-                          300ms);
+                          300ms, true);
     this->admission.Learn("packet", {{"dispatch", 400ms}, {"ledger", 320ms}},
-                          500ms);
-    this->admission.Learn("audio", {{"vault", 130ms}}, 130ms);
+                          500ms, true);
+    this->admission.Learn("audio", {{"vault", 130ms}}, 130ms, true);
   }
 
   // Sends each kind's requests evenly over a second, each caller for the first
@@ -105,7 +105,7 @@
 BOOST_FIXTURE_TEST_CASE(ADeepServiceThatTurnsSlowHasRoomForLess, Fixture) {
   for (int request = 0; request < 200; ++request) {
     this->admission.Learn("draft", {{"drafts", 700ms}, {"ledger", 640ms}},
-                          900ms);
+                          900ms, true);
   }
   this->drafts.per_second = 200;
   this->RunSecond({this->drafts});
--- a/tests/admission/route_costs_test.cc
+++ b/tests/admission/route_costs_test.cc
@@ -18,7 +18,7 @@
 BOOST_AUTO_TEST_CASE(TakesTheFirstRequestAtItsWord) {
   RouteCosts costs;
   BOOST_TEST((costs.Find("draft") == nullptr));
-  costs.Learn("draft", {{"drafts", 200ms}, {"ledger", 160ms}}, 300ms);
+  costs.Learn("draft", {{"drafts", 200ms}, {"ledger", 160ms}}, 300ms, true);
   BOOST_TEST((CostAt(costs, "ledger") == 160ms));
   BOOST_TEST((costs.Find("draft")->latency == 300ms));
 }
@@ -26,35 +26,49 @@
 BOOST_AUTO_TEST_CASE(FollowsAChangeWithoutJumpingAtOneTail) {
   RouteCosts costs;
   for (int request = 0; request < 40; ++request) {
-    costs.Learn("draft", {{"ledger", 100ms}}, 300ms);
+    costs.Learn("draft", {{"ledger", 100ms}}, 300ms, true);
   }
-  costs.Learn("draft", {{"ledger", 500ms}}, 300ms);
+  costs.Learn("draft", {{"ledger", 500ms}}, 300ms, true);
   BOOST_TEST((CostAt(costs, "ledger") == 120ms));
   for (int request = 0; request < 100; ++request) {
-    costs.Learn("draft", {{"ledger", 500ms}}, 300ms);
+    costs.Learn("draft", {{"ledger", 500ms}}, 300ms, true);
   }
   BOOST_TEST((CostAt(costs, "ledger") > 490ms));
 }
 
 BOOST_AUTO_TEST_CASE(OneSlowFirstRequestDoesNotStandForAll) {
   RouteCosts costs;
-  costs.Learn("draft", {{"ledger", 1s}}, 2s);
+  costs.Learn("draft", {{"ledger", 1s}}, 2s, true);
   for (int request = 0; request < 9; ++request) {
-    costs.Learn("draft", {{"ledger", 100ms}}, 300ms);
+    costs.Learn("draft", {{"ledger", 100ms}}, 300ms, true);
   }
   BOOST_TEST((CostAt(costs, "ledger") < 200ms));
 }
 
 BOOST_AUTO_TEST_CASE(ForgetsAServiceThatIsNoLongerOnThePath) {
   RouteCosts costs;
-  costs.Learn("draft", {{"ledger", 100ms}}, 300ms);
+  costs.Learn("draft", {{"ledger", 100ms}}, 300ms, true);
   for (int request = 0; request < 150; ++request) {
-    costs.Learn("draft", {{"vault", 40ms}}, 300ms);
+    costs.Learn("draft", {{"vault", 40ms}}, 300ms, true);
   }
   BOOST_TEST((CostAt(costs, "ledger") < 500us));
   BOOST_TEST((CostAt(costs, "vault") > 39ms));
 }
 
+// All requests of a route fail for lack of room at a service below: what they
+// needed of it is known nevertheless, and the first that succeeds tells better.
+BOOST_AUTO_TEST_CASE(FailedRequestsTellUntilOneSucceeds) {
+  RouteCosts costs;
+  costs.Learn("draft", {{"ledger", 40ms}}, 300ms, false);
+  costs.Learn("draft", {{"ledger", 40ms}}, 300ms, false);
+  BOOST_TEST((CostAt(costs, "ledger") == 40ms));
+  costs.Learn("draft", {{"ledger", 160ms}}, 300ms, true);
+  BOOST_TEST((CostAt(costs, "ledger") == 160ms));
+  costs.Learn("draft", {{"ledger", 40ms}}, 300ms, false);
+  BOOST_TEST((CostAt(costs, "ledger") == 160ms));
+  BOOST_TEST(costs.Find("draft")->samples == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace agaterun::admission
--- a/tests/calls/call_origin_test.cc
+++ b/tests/calls/call_origin_test.cc
@@ -35,8 +35,9 @@
   }
   void NestedCallEnded(
       VisitNumber parent,
-      const std::vector<decision::ServiceCost>& /*costs*/) override {
+      const std::vector<decision::ServiceCost>& costs) override {
     this->nested_ended.push_back(parent);
+    this->nested_costs = costs;
   }
   void AnswerCaller(decision::CallId call,
                     const HttpResponse& response,
@@ -50,6 +51,7 @@
   std::deque<Sent> sent;
   std::vector<decision::AttemptId> cancelled;
   std::vector<VisitNumber> nested_ended;
+  std::vector<decision::ServiceCost> nested_costs;
   std::map<decision::CallId, HttpResponse> answers;
   std::map<decision::CallId, CallSummary> summaries;
 };
@@ -115,7 +117,8 @@
         .outcome = outcome,
         .reason = reason,
         .load = {.limit = 18},
-        .offered = offered};
+        .offered = offered,
+        .costs = this->costs};
     decision::Answer answer;
     if (outcome == Outcome::kCompleted) {
       reply.offered = true;
@@ -142,6 +145,7 @@
   }
 
   Instant now = 100s;
+  std::vector<decision::ServiceCost> costs;  // Of each reply.
   Dialect dialect = TestDialect();
   SeededRandom random{9};
   membership::Fleet fleet{
@@ -336,6 +340,40 @@
   BOOST_TEST(this->StatusOf(1) == 200);
 }
 
+// After a cold start into an overload no request of a route succeeds: those
+// that fail must be enough to learn that there is no room for it.
+BOOST_FIXTURE_TEST_CASE(ARouteThatOnlyFailsIsHeldBackAtTheEntry, Fixture) {
+  // 60 slots; 100 requests a second take 200.
+  this->costs = {{.service = "drafts", .slot_time = 2s}};
+  int refused = 0;
+  constexpr decision::CallId kCalls = 300;
+  for (decision::CallId call = 1; call <= kCalls; ++call) {
+    this->now += 10ms;
+    this->origin.UpdateAdmission(this->now, 1.0);
+    const auto sent = this->output.sent.size();
+    this->Ask(call, "/read/1");
+    if (this->output.sent.size() == sent) {
+      ++refused;
+    } else {
+      this->Reply(Outcome::kCompleted, Reason::kNone, true, 500);
+    }
+  }
+  BOOST_TEST(refused > 150);
+}
+
+// A call that found no room tells the request that made it what it needed.
+BOOST_FIXTURE_TEST_CASE(ARefusedCallCountsForItsRequest, Fixture) {
+  this->costs = {{.service = "drafts", .slot_time = 40ms}};
+  this->Ask(1, "/read/1", "5000", VisitGate::Parent{.visit = 7});
+  while (this->StatusOf(1) == 0) {
+    this->Reply(Outcome::kNotRun, Reason::kOverloaded);
+  }
+  BOOST_TEST(this->StatusOf(1) == 503);
+  // Once, though several gates refused it.
+  BOOST_TEST(this->output.nested_ended.size() == 1U);
+  BOOST_TEST((this->output.nested_costs.at(0).slot_time == 40ms));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace agaterun::calls
--- a/tests/calls/visit_gate_test.cc
+++ b/tests/calls/visit_gate_test.cc
@@ -128,6 +128,9 @@
   this->Arrive(3);
   BOOST_TEST((this->ReasonOf(3) == Reason::kOverloaded));
   BOOST_TEST((this->output.replies.at(3).outcome == Outcome::kNotRun));
+  // What it would have taken, for the request that made the call.
+  BOOST_TEST_REQUIRE(this->output.replies.at(3).costs.size() == 1U);
+  BOOST_TEST((this->output.replies.at(3).costs[0].slot_time == 300ms));
   BOOST_TEST(!this->output.replies.at(3).offered);
   BOOST_TEST((this->output.replies.at(3).retry_after > 0ms));
 }
