--- a/meta/overload_bound.py
+++ b/meta/overload_bound.py
@@ -6,10 +6,10 @@
 For each tenth of a second of a day: what callers ask for, the slots that it
 takes at each service by its call tree, and the most credit that the slots can
 bring, the classes with most credit per slot of the tightest service first.
-Bursts and rejecting endpoints (`srv_grey` with `shed`) count. Whatever else
-takes slots away (endpoints that leave, crash or turn slow, cuts, cold starts)
-does not, so the bound is never too low, and far too high on days that lose
-much by it. With REACHED, the share of credit of a run, also prints reached
+Bursts count. Whatever takes slots or work away (endpoints that leave, crash,
+turn slow, reject or spoil answers, cuts, cold starts) does not, so the bound is
+far too high on days that lose much by it; it is too low by what callers who
+come back bring into a calmer second. With REACHED, the share of credit of a run, also prints reached
 over bound.
 """
 
@@ -24,15 +24,14 @@
     return work["mean"] * (1 + work["tail"] * (work["tail_x"] - 1))
 
 
-def add_tree(classes, name, times, slots, calls):
-    """Slot milliseconds and number of calls at each service, for one request."""
+def add_tree(classes, name, times, slots):
+    """Slot milliseconds at each service, for one request."""
     entry = classes[name]
     service = entry["service"]
     slots[service] = slots.get(service, 0) + times * mean_work_ms(entry["work_ms"])
-    calls[service] = calls.get(service, 0) + times
     for call in entry.get("calls", []):
         below = times * call["times"] * call["share"]
-        add_tree(classes, call["class"], below, slots, calls)
+        add_tree(classes, call["class"], below, slots)
 
 
 def trees_of(site):
@@ -41,9 +40,9 @@
     for name, entry in classes.items():
         if entry.get("inner"):
             continue
-        slots, calls = {}, {}
-        add_tree(classes, name, 1.0, slots, calls)
-        trees[name] = {"worth": entry["worth"], "slots": slots, "calls": calls}
+        slots = {}
+        add_tree(classes, name, 1.0, slots)
+        trees[name] = {"worth": entry["worth"], "slots": slots}
     return trees
 
 
@@ -81,18 +80,7 @@
     return rates
 
 
-def rejected_at(day, second):
-    """Share of calls that the endpoints of a service reject, where all do."""
-    rejected = {}
-    for fault in day.get("faults", []):
-        is_on = fault["at"] <= second < fault["at"] + fault.get("for_s", 5)
-        how = fault.get("how", "").split()
-        if is_on and fault["kind"] == "srv_grey" and {"shed", "all"} <= set(how):
-            rejected[fault["service"]] = fault.get("x", 0)
-    return rejected
-
-
-def best_credit(trees, rates, capacity, rejected):
+def best_credit(trees, rates, capacity):
     """Greedy by credit per slot of the tightest service."""
     wanted = {}
     for name, rate in rates.items():
@@ -113,8 +101,6 @@
             share = min(share, left[service] / needed if needed > 0 else 1.0)
         for service, slots in tree["slots"].items():
             left[service] -= share * rates[name] * slots / 1000
-        for service, lost in rejected.items():
-            share *= (1 - lost) ** tree["calls"].get(service, 0)
         credit += share * rates[name] * tree["worth"]
     return credit
 
@@ -126,7 +112,7 @@
         second = step * STEP
         rates = rates_at(day, site, second)
         owed += sum(rate * trees[name]["worth"] for name, rate in rates.items())
-        fits += best_credit(trees, rates, capacity, rejected_at(day, second))
+        fits += best_credit(trees, rates, capacity)
     return fits / owed
 
 
