HTTP: Don't ask the parser again with fewer bytes than a last chunk has

When the last chunk is the first one ("0", no data) and comes in pieces of three or four bytes, the assertion ends a debug build; a release build has no assertions and waits for more as it should. Ruled out: a read beyond the buffer (the parser looks for a line end within what it is given). Change: bytes of a chunked body wait until there are five of them. A chunked body never ends with fewer unread. TakesAnEmptyChunkedBodyByteByByte aborted before and passes now.

--- a/libraries/http/message_reader.h
+++ b/libraries/http/message_reader.h
@@ -21,6 +21,10 @@
 template <bool kIsRequest>
 class MessageReader {
  public:
+  // Shortest end of a chunked body: "0", and two line ends. The parser asserts
+  // that it is asked again with that much once it saw a part.
+  static constexpr std::size_t kLastChunkBytes = 5;
+
   using Parser =
       boost::beast::http::parser<kIsRequest, boost::beast::http::string_body>;
 
@@ -109,6 +113,9 @@
       return this->CheckPending(bytes.size());
     }
     this->pending.append(bytes);
+    if (this->parser->chunked() && this->pending.size() < kLastChunkBytes) {
+      return bytes.size();
+    }
     const auto used = this->Put(this->pending);
     if (!used) {
       return used;
--- a/tests/http/request_parser_test.cc
+++ b/tests/http/request_parser_test.cc
@@ -191,6 +191,22 @@
   BOOST_TEST(parser.IsDone());
 }
 
+// Found by parser_fuzz_test with seed 20261204 and a million inputs: the parser
+// below aborts when the last chunk is its first and comes byte by byte.
+BOOST_AUTO_TEST_CASE(TakesAnEmptyChunkedBodyByteByByte) {
+  const std::string bytes =
+      "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "0\r\n\r\n";
+  for (std::size_t piece = 1; piece < 6; ++piece) {
+    RequestParser parser(MessageLimits{});
+    for (std::size_t begin = 0; begin < bytes.size(); begin += piece) {
+      BOOST_TEST(!parser.IsDone());
+      BOOST_TEST(parser.Feed(bytes.substr(begin, piece)).has_value());
+    }
+    BOOST_TEST(parser.IsDone());
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace agaterun::http
