--- a/tests/http/parser_fuzz_test.cc
+++ b/tests/http/parser_fuzz_test.cc
@@ -27,7 +27,8 @@
     "\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
     "GET /f HTTP/1.1\r\nHost: desk.example\r\n\r\n";
 
-constexpr const char* kFollowing = "\r\n\r\n\r\n\r\n";
+// More than a reader ever waits for: it decides on the bytes before.
+constexpr std::string_view kFollowing = "\r\n\r\n\r";
 
 constexpr std::string_view kResponses =
     "HTTP/1.1 200 OK\r\nX-Stamp: 7\r\nContent-Length: 5\r\n\r\nhello"
@@ -67,6 +68,7 @@
       }
     }
   }
+  taken.failed = parser.HasStarted() && !parser.Feed(kFollowing);
   return taken;
 }
 
@@ -89,8 +91,7 @@
   SeededRandom random(kSeed);
   const auto inputs = fakes::FuzzInputs(kDefaultInputs);
   for (std::uint64_t input = 0; input < inputs; ++input) {
-    // What follows lets a reader decide on the last bytes that it waits with.
-    const auto bytes = fakes::Spoil(valid, kTokens, random) + kFollowing;
+    const auto bytes = fakes::Spoil(valid, kTokens, random);
     const auto whole = Read<Message, Parser>(bytes, bytes.size());
     const auto pieces = Read<Message, Parser>(bytes, 1 + random.Below(20));
     const auto where =
