--- a/libraries/caller/answer_writer.cc
+++ b/libraries/caller/answer_writer.cc
@@ -1,6 +1,7 @@
 #include <array>
 #include <nlohmann/json.hpp>
 
+#include "libraries/base/http_status.h"
 #include "libraries/caller/header_reader.h"
 #include "libraries/caller/request_headers.h"
 
@@ -11,9 +12,6 @@
 using decision::Outcome;
 using decision::Reason;
 
-constexpr int kBadGateway = 502;
-constexpr int kGatewayTimeout = 504;
-
 // How a refusal looks to a caller.
 struct ReasonRow {
   Reason reason;
@@ -89,8 +87,8 @@
   if (outcome == Outcome::kNotRun) {
     return row.status;
   }
-  return row.reason == Reason::kDeadlineExceeded ? kGatewayTimeout
-                                                 : kBadGateway;
+  return row.reason == Reason::kDeadlineExceeded ? http_status::kGatewayTimeout
+                                                 : http_status::kBadGateway;
 }
 
 void WriteRetryAfter(HttpHeaders& headers, std::int64_t milliseconds) {
--- a/libraries/calls/call_origin.cc
+++ b/libraries/calls/call_origin.cc
@@ -7,6 +7,8 @@
 #include <cstdio>
 #include <utility>
 
+#include "libraries/base/http_status.h"
+
 namespace agaterun::calls {
 
 namespace {
@@ -20,13 +22,6 @@
 using decision::VisitReply;
 using decision::VisitRequest;
 
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
-constexpr int kServerErrors = 500;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
-
 // Part of the target latency that a caller waits for a refusal at most.
 constexpr int kPatienceParts = 8;
 
@@ -105,13 +100,12 @@
       budget(this->options.repeats),
       admission(random) {}
 
-void CallOrigin::AnswerNow(Instant /*now*/,
-                           CallId id,
+void CallOrigin::AnswerNow(CallId id,
                            const HttpRequest& request,
                            int status,
                            Reason reason) {
   const auto retry_after =
-      status == kUnavailable ? kStartRetryAfter : Duration{};
+      status == http_status::kUnavailable ? kStartRetryAfter : Duration{};
   this->output.AnswerCaller(id, OwnAnswer(status, reason, retry_after), request,
                             {.status = status, .reason = reason});
 }
@@ -121,27 +115,30 @@
                            HttpRequest request,
                            const std::optional<VisitGate::Parent>& parent) {
   if (!this->routes) {
-    this->AnswerNow(now, id, request, kUnavailable, Reason::kWaitingForState);
+    this->AnswerNow(id, request, http_status::kUnavailable,
+                    Reason::kWaitingForState);
     return;
   }
   const auto* host = FindHeader(request.headers, "Host");
   const auto* route =
       host == nullptr ? nullptr : this->routes->Find(*host, request.target);
   if (route == nullptr) {
-    this->AnswerNow(now, id, request, kNotFound, Reason::kNoSuchRoute);
+    this->AnswerNow(id, request, http_status::kNotFound, Reason::kNoSuchRoute);
     return;
   }
   if (FindHeader(request.headers, this->dialect.request_id) == nullptr) {
-    this->AnswerNow(now, id, request, kBadRequest, Reason::kMalformed);
+    this->AnswerNow(id, request, http_status::kBadRequest, Reason::kMalformed);
     return;
   }
-  if (this->crashes.IsConvicted(now, FingerprintOf(request))) {
-    this->AnswerNow(now, id, request, kUnavailable, Reason::kConvicted);
+  const auto fingerprint = FingerprintOf(request);
+  if (this->crashes.IsConvicted(now, fingerprint)) {
+    this->AnswerNow(id, request, http_status::kUnavailable, Reason::kConvicted);
     return;
   }
   const auto* service = this->shares.Pick(*route);
   if (service == nullptr) {
-    this->AnswerNow(now, id, request, kUnavailable, Reason::kNoSuchService);
+    this->AnswerNow(id, request, http_status::kUnavailable,
+                    Reason::kNoSuchService);
     return;
   }
   const auto given =
@@ -157,6 +154,7 @@
   }
   Call call{.id = id,
             .request = std::make_shared<const HttpRequest>(std::move(request)),
+            .fingerprint = fingerprint,
             .table = this->routes,
             .route = route,
             .service = *service,
@@ -185,9 +183,10 @@
   }
   call.reason = Reason::kOverloaded;
   call.full_service = verdict.service;
-  this->Finish(now, call,
-               OwnAnswer(kUnavailable, call.reason, verdict.retry_after),
-               call.reason);
+  this->Finish(
+      now, call,
+      OwnAnswer(http_status::kUnavailable, call.reason, verdict.retry_after),
+      call.reason);
   return true;
 }
 
@@ -217,7 +216,8 @@
       call.reason = Reason::kUnreachable;
     }
     if (call.may_have_run) {
-      this->Finish(now, call, OwnAnswer(kBadGateway, call.reason, Duration{}),
+      this->Finish(now, call,
+                   OwnAnswer(http_status::kBadGateway, call.reason, Duration{}),
                    call.reason);
     } else {
       this->Refuse(now, call);
@@ -240,7 +240,7 @@
                            .remaining = call.deadline - now,
                            .importance = call.importance,
                            .idempotent = call.route->IsIdempotent(),
-                           .fingerprint = FingerprintOf(*call.request),
+                           .fingerprint = call.fingerprint,
                            .nested = call.parent.has_value(),
                            .returning = call.returning,
                            .patience = this->PatienceOf(now, call)};
@@ -265,10 +265,11 @@
   }
   const auto from = call->attempt->node;
   this->fleet.TakeLoad(now, from, reply.load);
-  const bool failed = reply.outcome == Outcome::kUnknown ||
-                      reply.reason == Reason::kBackendRejected ||
-                      (answer != nullptr && answer->status >= kServerErrors &&
-                       answer->status != kGatewayTimeout);
+  const bool failed =
+      reply.outcome == Outcome::kUnknown ||
+      reply.reason == Reason::kBackendRejected ||
+      (answer != nullptr && answer->status >= http_status::kServerErrors &&
+       answer->status != http_status::kGatewayTimeout);
   this->fleet.AttemptReplied(now, from, failed);
   call->attempt.reset();
   call->offered += reply.offered ? 1 : 0;
@@ -280,17 +281,20 @@
   if (reply.outcome == Outcome::kCompleted && answer != nullptr) {
     if (!call->parent) {
       this->admission.Learn(call->route->name, reply.costs, now - call->arrived,
-                            answer->status < kServerErrors);
+                            answer->status < http_status::kServerErrors);
     }
     // A leaf that failed may do better elsewhere; one with calls of its own
     // has most likely failed by them.
-    if (answer->status >= kServerErrors && call->route->IsIdempotent() &&
-        this->RepeatCost(now, *call) <= 1) {
+    if (answer->status >= http_status::kServerErrors &&
+        call->route->IsIdempotent() && this->RepeatCost(now, *call) <= 1) {
       call->tried.push_back(from);
-      if (this->MayRepeat(now, *call, 1) &&
-          this->chooser.Choose(now, call->service, call->tried, false)) {
+      const auto other =
+          this->MayRepeat(now, *call, 1)
+              ? this->chooser.Choose(now, call->service, call->tried, false)
+              : std::nullopt;
+      if (other) {
         call->may_have_run = true;
-        this->Dispatch(now, *call, /*needs_room=*/false);
+        this->SendTo(now, *call, *other);
         return;
       }
     }
@@ -368,7 +372,8 @@
     this->Dispatch(now, call, /*needs_room=*/false);
     return;
   }
-  this->Finish(now, call, OwnAnswer(kBadGateway, reason, Duration{}), reason);
+  this->Finish(now, call,
+               OwnAnswer(http_status::kBadGateway, reason, Duration{}), reason);
 }
 
 void CallOrigin::OnAttemptLost(Instant now,
@@ -412,7 +417,8 @@
   }
   auto& call = found->second;
   this->DropAttempt(now, call, /*silent=*/false);
-  this->Finish(now, call, OwnAnswer(kBadGateway, Reason::kCancelled, {}),
+  this->Finish(now, call,
+               OwnAnswer(http_status::kBadGateway, Reason::kCancelled, {}),
                Reason::kCancelled);
 }
 
@@ -456,7 +462,8 @@
   const double spread = 0.5 + this->random.Unit();
   const auto base = std::max(call.retry_after, kShortestRetryAfter);
   const auto retry_after = std::chrono::duration_cast<Duration>(base * spread);
-  this->Finish(now, call, OwnAnswer(kUnavailable, call.reason, retry_after),
+  this->Finish(now, call,
+               OwnAnswer(http_status::kUnavailable, call.reason, retry_after),
                call.reason);
 }
 
@@ -468,16 +475,17 @@
     return;
   }
   // The attempt under way may run, so nothing is promised.
-  this->Finish(now, call,
-               OwnAnswer(kGatewayTimeout, Reason::kDeadlineExceeded, {}),
-               Reason::kDeadlineExceeded);
+  this->Finish(
+      now, call,
+      OwnAnswer(http_status::kGatewayTimeout, Reason::kDeadlineExceeded, {}),
+      Reason::kDeadlineExceeded);
 }
 
 void CallOrigin::Finish(Instant now,
                         Call& call,
                         const HttpResponse& response,
                         Reason reason) {
-  if (call.parent && response.status == kUnavailable &&
+  if (call.parent && response.status == http_status::kUnavailable &&
       !call.missed_costs.empty()) {
     this->output.NestedCallEnded(call.parent->visit, call.missed_costs);
   }
--- a/libraries/calls/call_origin.h
+++ b/libraries/calls/call_origin.h
@@ -120,6 +120,7 @@
   struct Call {
     decision::CallId id = 0;
     SharedRequest request;
+    std::uint64_t fingerprint = 0;
     std::shared_ptr<const routing::RouteTable> table;  // Keeps `route` alive.
     const routing::Route* route = nullptr;
     std::string service;
@@ -142,8 +143,7 @@
   };
 
   Call* FindCurrent(const decision::AttemptId& attempt);
-  void AnswerNow(Instant now,
-                 decision::CallId id,
+  void AnswerNow(decision::CallId id,
                  const HttpRequest& request,
                  int status,
                  decision::Reason reason);
--- a/libraries/calls/dialect.cc
+++ b/libraries/calls/dialect.cc
@@ -1,15 +1,11 @@
 #include "libraries/calls/dialect.h"
 
-namespace agaterun::calls {
-
-namespace {
+#include "libraries/base/http_status.h"
 
-constexpr int kMisdirected = 421;
-
-}  // namespace
+namespace agaterun::calls {
 
 AnswerClass ClassOf(const HttpResponse& answer, const Dialect& dialect) {
-  if (answer.status == kMisdirected) {
+  if (answer.status == http_status::kMisdirected) {
     return AnswerClass::kOtherInstance;
   }
   if (FindHeader(answer.headers, dialect.not_run) != nullptr) {
--- a/libraries/calls/visit_gate.cc
+++ b/libraries/calls/visit_gate.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "libraries/base/freshness.h"
+#include "libraries/base/http_status.h"
 
 namespace agaterun::calls {
 
@@ -36,9 +37,6 @@
 // Counts of visits and nested calls are halved at this many.
 constexpr double kCountedVisits = 400;
 
-constexpr int kServerErrors = 500;
-constexpr int kGatewayTimeout = 504;
-
 // Between the id of a request and what a call of it adds.
 constexpr char kIdSeparator = '.';
 
@@ -299,8 +297,8 @@
     case AnswerClass::kWhole:
       // At the deadline a backend server answers so whatever its own state.
       this->last_result = now;
-      if (answer->status != kGatewayTimeout) {
-        this->NoteResult(now, answer->status >= kServerErrors);
+      if (answer->status != http_status::kGatewayTimeout) {
+        this->NoteResult(now, answer->status >= http_status::kServerErrors);
       }
       this->queue.Ended(now - visit.started);
       this->Reply(now, visit, Outcome::kCompleted, Reason::kNone, true,
--- a/libraries/http/message_writer.cc
+++ b/libraries/http/message_writer.cc
@@ -5,6 +5,7 @@
 
 #include <boost/beast/http/status.hpp>
 
+#include "libraries/base/http_status.h"
 #include "libraries/http/framing.h"
 
 namespace agaterun::http {
@@ -12,8 +13,6 @@
 namespace {
 
 constexpr std::size_t kHeadEstimate = 512;
-constexpr int kNoContent = 204;
-constexpr int kNotModified = 304;
 
 // Parsers refuse such bytes already. This guards against a header that other
 // code made from text it did not check: it must not become two headers.
@@ -64,8 +63,8 @@
 std::string WriteResponse(const HttpResponse& response,
                           bool keep_alive,
                           bool for_head) {
-  const bool no_body =
-      response.status == kNoContent || response.status == kNotModified;
+  const bool no_body = response.status == http_status::kNoContent ||
+                       response.status == http_status::kNotModified;
   const auto reason = boost::beast::http::obsolete_reason(
       boost::beast::http::int_to_status(response.status));
   std::string bytes;
--- a/libraries/http/response_parser.cc
+++ b/libraries/http/response_parser.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <utility>
 
+#include "libraries/base/http_status.h"
 #include "libraries/base/verify.h"
 #include "libraries/http/message_reader.h"
 
@@ -12,8 +13,6 @@
 namespace {
 
 constexpr int kSwitchingProtocols = 101;
-constexpr int kNoContent = 204;
-constexpr int kNotModified = 304;
 
 bool IsInterim(int status) {
   return status >= 100 && status < 200;
@@ -73,7 +72,8 @@
   }
   this->interim = IsInterim(status);
   const bool no_body = this->skip_body || this->interim ||
-                       status == kNoContent || status == kNotModified;
+                       status == http_status::kNoContent ||
+                       status == http_status::kNotModified;
   const bool ends_with_connection = *framing == BodyFraming::kNone && !no_body;
   if (ends_with_connection && this->without_length == WithoutLength::kRefused) {
     return MakeError(ErrorKind::kMalformedMessage,
--- a/libraries/platform/platform_reader.cc
+++ b/libraries/platform/platform_reader.cc
@@ -10,6 +10,7 @@
 #include <thread>
 #include <utility>
 
+#include "libraries/base/http_status.h"
 #include "libraries/base/log.h"
 #include "libraries/platform/platform_responses.h"
 
@@ -17,7 +18,6 @@
 
 namespace {
 
-constexpr int kStatusOk = 200;
 // A value takes more bytes in JSON than it has, and a page holds several.
 constexpr std::size_t kLargestBodyBytes = 4 * kLargestValueBytes;
 // How often the destructor tries to break a call that is about to start.
@@ -187,7 +187,7 @@
                        httplib::to_string(response.error()) +
                            "; look at the platform's service");
     }
-    if (response->status != kStatusOk) {
+    if (response->status != http_status::kOk) {
       return MakeError(ErrorKind::kConnectionFailed,
                        "status " + std::to_string(response->status) +
                            "; look at the platform's service");
--- a/libraries/proxy/call_log.cc
+++ b/libraries/proxy/call_log.cc
@@ -2,6 +2,7 @@
 
 #include <cstdio>
 
+#include "libraries/base/http_status.h"
 #include "libraries/base/log.h"
 
 namespace agaterun::proxy {
@@ -9,8 +10,7 @@
 namespace {
 
 constexpr std::uint64_t kLinesPerSecond = 20;
-constexpr int kServerErrors = 500;
-constexpr int kUnavailable = 503;
+constexpr Duration kLoadInterval = 1s;
 
 std::string Milliseconds(Duration duration) {
   char text[32];
@@ -22,7 +22,8 @@
   if (summary.reason == decision::Reason::kNone) {
     return decision::Outcome::kCompleted;
   }
-  return summary.status == kUnavailable || summary.status < kServerErrors
+  return summary.status == http_status::kUnavailable ||
+                 summary.status < http_status::kServerErrors
              ? decision::Outcome::kNotRun
              : decision::Outcome::kUnknown;
 }
@@ -49,11 +50,11 @@
   const auto outcome = OutcomeOf(summary);
   this->metrics.RecordCall(summary.importance, outcome, summary.reason,
                            summary.elapsed);
-  if (summary.status < kServerErrors) {
+  if (summary.status < http_status::kServerErrors) {
     return;
   }
   const auto event = summary.reason != decision::Reason::kNone &&
-                             summary.status == kUnavailable
+                             summary.status == http_status::kUnavailable
                          ? LogEvent::kCallRefused
                          : LogEvent::kCallFailed;
   std::string left_out;
@@ -93,13 +94,15 @@
               {"left_out", left_out}});
 }
 
+bool CallLog::IsLoadDue(Instant now) const {
+  return now - this->load_noted >= kLoadInterval;
+}
+
 void CallLog::NoteLoad(
     Instant now,
     const decision::LoadReport& load,
     const std::vector<admission::EntryAdmission::HeldBack>& held) {
-  constexpr Duration kInterval = 1s;
-  if ((held.empty() && load.queued == 0) ||
-      now - this->load_noted < kInterval) {
+  if (held.empty() && load.queued == 0) {
     return;
   }
   this->load_noted = now;
--- a/libraries/proxy/call_log.h
+++ b/libraries/proxy/call_log.h
@@ -26,7 +26,9 @@
                  decision::Reason reason,
                  Duration elapsed);
 
-  // Writes how loaded this node is, at most once a second.
+  // Writes how loaded this node is when anything waits or is held back; to be
+  // called when a line is due, at most once a second.
+  bool IsLoadDue(Instant now) const;
   void NoteLoad(Instant now,
                 const decision::LoadReport& load,
                 const std::vector<admission::EntryAdmission::HeldBack>& held);
--- a/libraries/proxy/http_connection.cc
+++ b/libraries/proxy/http_connection.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "libraries/base/clock.h"
+#include "libraries/base/http_status.h"
 #include "libraries/http/message_writer.h"
 
 namespace agaterun::proxy {
@@ -17,10 +18,6 @@
 
 constexpr std::size_t kScratchBytes = 64 * 1024;
 constexpr Duration kLingerTime = 1s;
-constexpr int kBadRequest = 400;
-constexpr int kRequestTimeout = 408;
-constexpr int kContentTooLarge = 413;
-constexpr int kHeadersTooLarge = 431;
 
 // Waiting holds no buffer: bytes land in one that all connections share.
 std::array<char, kScratchBytes>& Scratch() {
@@ -164,9 +161,10 @@
 }
 
 void HttpConnection::Reject(const Error& error) {
-  int status = kBadRequest;
+  int status = http_status::kBadRequest;
   if (error.kind == ErrorKind::kLimitReached) {
-    status = this->parser.HeadIsDone() ? kContentTooLarge : kHeadersTooLarge;
+    status = this->parser.HeadIsDone() ? http_status::kContentTooLarge
+                                       : http_status::kHeadersTooLarge;
   }
   this->RejectWith(status, error.message);
 }
@@ -271,7 +269,7 @@
   }
   if (this->pending.empty() && this->parser.HasStarted() &&
       !this->reading_stopped) {
-    this->RejectWith(kRequestTimeout,
+    this->RejectWith(http_status::kRequestTimeout,
                      "the request did not come in time; send it faster");
   }
 }
--- a/libraries/proxy/http_listener.cc
+++ b/libraries/proxy/http_listener.cc
@@ -114,15 +114,13 @@
   });
 }
 
-decision::CallId HttpListener::Begin(
-    const std::shared_ptr<HttpConnection>& connection,
-    HttpRequest request,
-    NodeAddress caller) {
+void HttpListener::Begin(const std::shared_ptr<HttpConnection>& connection,
+                         HttpRequest request,
+                         NodeAddress caller) {
   const auto call = this->call_ids++;
   this->calls.emplace(call, connection);
   connection->Expect(call);
   this->sink.OnRequest(call, std::move(request), caller);
-  return call;
 }
 
 void HttpListener::Answer(decision::CallId call, const HttpResponse& response) {
--- a/libraries/proxy/http_listener.h
+++ b/libraries/proxy/http_listener.h
@@ -67,9 +67,9 @@
 
   const Options& GetOptions() const { return this->options; }
   bool IsClosing() const { return this->closing; }
-  decision::CallId Begin(const std::shared_ptr<HttpConnection>& connection,
-                         HttpRequest request,
-                         NodeAddress caller);
+  void Begin(const std::shared_ptr<HttpConnection>& connection,
+             HttpRequest request,
+             NodeAddress caller);
   // The call's connection is gone or the call is answered.
   void Forget(decision::CallId call) { this->calls.erase(call); }
   void Abandon(decision::CallId call);
--- a/libraries/proxy/probe_server.cc
+++ b/libraries/proxy/probe_server.cc
@@ -2,13 +2,12 @@
 
 #include <utility>
 
+#include "libraries/base/http_status.h"
+
 namespace agaterun::proxy {
 
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kNotFound = 404;
-constexpr int kUnavailable = 503;
 constexpr std::size_t kMostConnections = 64;
 
 HttpResponse TextResponse(int status, std::string body, const char* type) {
@@ -31,17 +30,20 @@
 HttpResponse ProbeServer::Respond(const HttpRequest& request) const {
   if (request.target == this->options.probe_path) {
     return this->source.is_ready()
-               ? TextResponse(kOk, "ready\n", "text/plain")
-               : TextResponse(kUnavailable, "not ready\n", "text/plain");
+               ? TextResponse(http_status::kOk, "ready\n", "text/plain")
+               : TextResponse(http_status::kUnavailable, "not ready\n",
+                              "text/plain");
   }
   if (request.target == "/metrics") {
-    return TextResponse(kOk, this->source.metrics(),
+    return TextResponse(http_status::kOk, this->source.metrics(),
                         "text/plain; version=0.0.4");
   }
   if (request.target == "/state") {
-    return TextResponse(kOk, this->source.state(), "application/json");
+    return TextResponse(http_status::kOk, this->source.state(),
+                        "application/json");
   }
-  return TextResponse(kNotFound, "try /metrics or /state\n", "text/plain");
+  return TextResponse(http_status::kNotFound, "try /metrics or /state\n",
+                      "text/plain");
 }
 
 void ProbeServer::OnRequest(decision::CallId call,
--- a/libraries/proxy/proxy_node.cc
+++ b/libraries/proxy/proxy_node.cc
@@ -360,10 +360,10 @@
   }
   const bool changes = is_new || entry.has_value() != known.has_value();
   this->gate.SetEntry(this->Now(), std::move(entry));
-  this->fleet.TakeLoad(this->Now(), this->settings.node,
-                       this->gate.Load(this->Now()));
   if (changes) {
-    this->SendHeartbeats();
+    this->TellOwnLoad();
+  } else {
+    this->TakeOwnLoad();
   }
 }
 
@@ -418,9 +418,7 @@
         {{"requests", std::to_string(there.size())}});
   }
   this->gate.SetReachable(this->Now(), reachable);
-  this->fleet.TakeLoad(this->Now(), this->settings.node,
-                       this->gate.Load(this->Now()));
-  this->SendHeartbeats();
+  this->TellOwnLoad();
 }
 
 void ProxyNode::OnOtherInstance() {
@@ -467,12 +465,14 @@
 void ProxyNode::Tick() {
   this->OnTick();
   const auto now = this->Now();
-  this->fleet.TakeLoad(now, this->settings.node, this->gate.Load(this->Now()));
+  this->TakeOwnLoad();
   this->origin.UpdateAdmission(
       now, membership::StateSpread::HeardShare(this->fleet.All().size(),
                                                kHeartbeatsInDemand));
-  this->call_log.NoteLoad(now, this->gate.Load(now),
-                          this->origin.Admission().HeldBackRoutes());
+  if (this->call_log.IsLoadDue(now)) {
+    this->call_log.NoteLoad(now, this->gate.Load(now),
+                            this->origin.Admission().HeldBackRoutes());
+  }
   if (now >= this->next_heartbeat) {
     this->SendHeartbeats();
   }
@@ -500,6 +500,16 @@
   return addresses;
 }
 
+void ProxyNode::TakeOwnLoad() {
+  const auto now = this->Now();
+  this->fleet.TakeLoad(now, this->settings.node, this->gate.Load(now));
+}
+
+void ProxyNode::TellOwnLoad() {
+  this->TakeOwnLoad();
+  this->SendHeartbeats();
+}
+
 void ProxyNode::SendHeartbeats() {
   this->next_heartbeat = this->Now() + kHeartbeatInterval;
   std::vector<NodeAddress> waiting;
@@ -532,8 +542,7 @@
   const auto now = this->Now();
   if (this->planned_stop.TakeLeaving(now)) {
     this->gate.StartLeaving(now);
-    this->fleet.TakeLoad(now, this->settings.node, this->gate.Load(now));
-    this->SendHeartbeats();
+    this->TellOwnLoad();
   }
   const bool is_idle =
       this->origin.CallsInFlight() == 0 && this->gate.VisitsInFlight() == 0;
--- a/libraries/proxy/proxy_node.h
+++ b/libraries/proxy/proxy_node.h
@@ -150,6 +150,10 @@
   void OnTick();
   void Tick();
   void FollowPlannedStop();
+  // This node's own load counts like that of others.
+  void TakeOwnLoad();
+  // Also tells the others at once.
+  void TellOwnLoad();
   void SendHeartbeats();
   std::vector<NodeAddress> FleetAddresses() const;
 
