Routing: A request stays in its failure domain while that has room

Cause: another failure domain was held against an endpoint with a fixed 15 ms, less than the 10% of noise on a service time of 160 ms, so about two thirds of all requests crossed a border; with many endpoints and old load reports all origins chose the same one. Change: distance costs 15 ms and 0.35 of the usual service time; the fill of an endpoint counts by its fourth power, so that a domain is left when it is nearly full; of more than six endpoints four near and two far ones are drawn and compared; a node that said nothing lately counts as half as full as usual, not as empty. The tests of the near endpoint and of old reports fail on the former chooser, one endpoint then gets all 200 requests; those of need and of a failing domain pass on both.

--- a/libraries/routing/endpoint_chooser.cc
+++ b/libraries/routing/endpoint_chooser.cc
@@ -1,6 +1,8 @@
 #include "libraries/routing/endpoint_chooser.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <utility>
 
 #include "libraries/base/freshness.h"
 
@@ -37,8 +39,24 @@
 // A share of failures that chance alone brings about says nothing.
 constexpr double kUsualFailures = 0.05;
 
-// Requests between failure domains cost bytes, and two ways more.
+// A request stays in its failure domain while that can serve it in time:
+// elsewhere it costs bytes and two ways more, and a domain that leans on
+// others falls with them. In seconds, and in parts of the usual service time,
+// so that differences by chance send nothing away.
 constexpr double kOtherDomainSeconds = 0.015;
+constexpr double kOtherDomainParts = 0.35;
+
+// Weight of the slots taken at a node, against the time of one request. Steep,
+// so that a node is left when it is nearly full and not before.
+constexpr double kFillWeight = 0.8;
+
+// Of many endpoints some are drawn and the best of these is taken. What is
+// known of them is some time old, and all would go to the same one otherwise.
+constexpr std::size_t kMostCompared = 6;
+constexpr std::size_t kDrawnInDomain = 4;
+
+// What a node that said nothing lately is taken to hold, against the others.
+constexpr double kUnknownLoad = 0.5;
 
 constexpr double kDefaultServiceSeconds = 0.05;
 
@@ -55,14 +73,28 @@
              : static_cast<double>(node.slots);
 }
 
-// Requests at the node, queued ones included.
-double PresentAt(Instant now, const FleetNode& node) {
-  double told = 0;
+// Requests at the node, queued ones included. `usual_use` is the share of the
+// slots that are taken at nodes which told it lately.
+double PresentAt(Instant now, const FleetNode& node, double usual_use) {
+  double present = kUnknownLoad * usual_use * LimitOf(node);
   if (node.load_told) {
-    told = static_cast<double>(node.load.running + node.load.queued) *
-           Freshness(now - *node.load_told, kLoadHalfLife);
+    const double fresh = Freshness(now - *node.load_told, kLoadHalfLife);
+    const double told = node.load.running + node.load.queued;
+    present = fresh * told + (1 - fresh) * present;
   }
-  return std::max<double>(told + node.sent_since_told, node.in_flight);
+  return std::max<double>(present + node.sent_since_told, node.in_flight);
+}
+
+// Keeps `count` of the nodes, drawn at random.
+void Draw(std::vector<const FleetNode*>& nodes,
+          std::size_t count,
+          RandomSource& random) {
+  count = std::min(count, nodes.size());
+  for (std::size_t drawn = 0; drawn < count; ++drawn) {
+    const auto other = drawn + random.Below(nodes.size() - drawn);
+    std::swap(nodes[drawn], nodes[other]);
+  }
+  nodes.resize(count);
 }
 
 }  // namespace
@@ -110,59 +142,102 @@
          now - *node.last_heard < this->fleet.LongestPause();
 }
 
+EndpointChooser::Usual EndpointChooser::UsualOf(
+    Instant now,
+    std::span<const FleetNode* const> nodes) const {
+  double service = 0;
+  double use = 0;
+  double weight = 0;
+  int count = 0;
+  for (const auto* node : nodes) {
+    if (!node->load_told) {
+      continue;
+    }
+    if (node->load.service_time > Duration{}) {
+      service += ToSeconds(node->load.service_time);
+      ++count;
+    }
+    const double fresh = Freshness(now - *node->load_told, kLoadHalfLife);
+    use += fresh * (node->load.running + node->load.queued) / LimitOf(*node);
+    weight += fresh;
+  }
+  return {
+      .service_seconds = count > 0 ? service / count : kDefaultServiceSeconds,
+      .use = weight > 0 ? use / weight : 0};
+}
+
 double EndpointChooser::CostOf(Instant now,
                                const FleetNode& node,
-                               double typical) const {
-  double service = typical;
+                               const Usual& usual) const {
+  double service = usual.service_seconds;
   if (node.load_told && node.load.service_time > Duration{}) {
     service = ToSeconds(node.load.service_time);
   } else if (now < node.cold_until) {
     service *= kColdFactor;
   }
   const double limit = std::max(1.0, LimitOf(node));
-  const double ahead = std::max(0.0, PresentAt(now, node) + 1 - limit);
+  const double present = PresentAt(now, node, usual.use);
+  const double ahead = std::max(0.0, present + 1 - limit);
   double cost = service + kQueueWeight * ahead * service / limit;
   // Near the limit a slot may be taken by another node's request meanwhile.
-  const double use = std::min(1.0, PresentAt(now, node) / limit);
-  cost += service * use * use * 0.5;
+  const double use = std::min(1.0, present / limit);
+  cost += service * use * use * use * use * kFillWeight;
   const double failing = std::max(
       node.failure_share * Freshness(now - node.failure_told, kFailureHalfLife),
       node.load_told ? node.load.failure_share *
                            Freshness(now - *node.load_told, kFailureHalfLife)
                      : 0.0);
   cost += std::max(0.0, failing - kUsualFailures) * kFailureSeconds;
-  if (node.failure_domain != this->options.failure_domain) {
-    cost += kOtherDomainSeconds;
+  if (!this->IsNear(node)) {
+    cost += kOtherDomainSeconds + kOtherDomainParts * usual.service_seconds;
   }
   return cost;
 }
 
+std::vector<const FleetNode*> EndpointChooser::Candidates(
+    Instant now,
+    std::span<FleetNode* const> nodes,
+    std::span<const NodeAddress> excluded,
+    std::optional<double> room_at_use) {
+  std::vector<const FleetNode*> usable;
+  for (const auto* node : nodes) {
+    const bool was_tried = std::find(excluded.begin(), excluded.end(),
+                                     node->node) != excluded.end();
+    const bool is_full =
+        room_at_use && PresentAt(now, *node, *room_at_use) >= LimitOf(*node);
+    if (!was_tried && !is_full && this->MayUse(now, *node)) {
+      usable.push_back(node);
+    }
+  }
+  if (usable.size() <= kMostCompared) {
+    return usable;
+  }
+  const auto elsewhere = std::partition(
+      usable.begin(), usable.end(),
+      [this](const FleetNode* node) { return this->IsNear(*node); });
+  std::vector<const FleetNode*> far(elsewhere, usable.end());
+  usable.erase(elsewhere, usable.end());
+  Draw(usable, kDrawnInDomain, this->random);
+  Draw(far, kMostCompared - usable.size(), this->random);
+  usable.insert(usable.end(), far.begin(), far.end());
+  return usable;
+}
+
 std::optional<NodeAddress> EndpointChooser::Choose(
     Instant now,
     std::string_view service,
     std::span<const NodeAddress> excluded,
     bool needs_room) {
   const auto nodes = this->fleet.NodesOf(service);
-  double sum = 0;
-  int count = 0;
-  for (const auto* node : nodes) {
-    if (node->load_told && node->load.service_time > Duration{}) {
-      sum += ToSeconds(node->load.service_time);
-      ++count;
-    }
-  }
-  const double typical = count > 0 ? sum / count : kDefaultServiceSeconds;
+  const std::vector<const FleetNode*> all(nodes.begin(), nodes.end());
+  const auto usual = this->UsualOf(now, all);
   const FleetNode* best = nullptr;
   double least = 0;
-  for (const auto* node : nodes) {
-    if (!this->MayUse(now, *node) ||
-        std::find(excluded.begin(), excluded.end(), node->node) !=
-            excluded.end() ||
-        (needs_room && PresentAt(now, *node) >= LimitOf(*node))) {
-      continue;
-    }
+  for (const auto* node :
+       this->Candidates(now, nodes, excluded,
+                        needs_room ? std::optional(usual.use) : std::nullopt)) {
     const double cost =
-        this->CostOf(now, *node, typical) * (1 + kNoise * this->random.Unit());
+        this->CostOf(now, *node, usual) * (1 + kNoise * this->random.Unit());
     if (best == nullptr || cost < least) {
       best = node;
       least = cost;
--- a/libraries/routing/endpoint_chooser.h
+++ b/libraries/routing/endpoint_chooser.h
@@ -3,7 +3,9 @@
 
 #include <optional>
 #include <span>
+#include <string>
 #include <string_view>
+#include <vector>
 
 #include "libraries/base/random.h"
 #include "libraries/membership/fleet.h"
@@ -42,9 +44,30 @@
   bool MayUse(Instant now, const membership::FleetNode& node) const;
   // Nothing speaks against the node being there.
   bool IsReachable(Instant now, const membership::FleetNode& node) const;
+  bool IsNear(const membership::FleetNode& node) const {
+    return node.failure_domain == this->options.failure_domain;
+  }
+
+  // What is usual among the endpoints of a service.
+  struct Usual {
+    double service_seconds = 0;
+    double use = 0;  // Share of the slots that are taken.
+  };
+  Usual UsualOf(Instant now,
+                std::span<const membership::FleetNode* const> nodes) const;
+
+  // Expected seconds until an answer of the node, and what speaks against it.
   double CostOf(Instant now,
                 const membership::FleetNode& node,
-                double typical) const;
+                const Usual& usual) const;
+
+  // The nodes to compare: all that may be used, or some of many, most of them
+  // in this failure domain. Leaves out full ones when `room_at_use` is given.
+  std::vector<const membership::FleetNode*> Candidates(
+      Instant now,
+      std::span<membership::FleetNode* const> nodes,
+      std::span<const NodeAddress> excluded,
+      std::optional<double> room_at_use);
 
   Options options;
   membership::Fleet& fleet;
--- a/tests/routing/endpoint_chooser_test.cc
+++ b/tests/routing/endpoint_chooser_test.cc
@@ -133,6 +133,74 @@
   BOOST_TEST(this->chooser.UsableSlots(this->now, "unknown") == 0);
 }
 
+// Pattern: distance costs callers time and their operator money, so chance
+// differences between endpoints send nothing away while the near one has room.
+BOOST_FIXTURE_TEST_CASE(StaysInItsFailureDomainWhileThatHasRoom, Fixture) {
+  this->Tell(1, {.running = 10, .limit = 20, .service_time = 110ms});
+  this->Tell(2, {.running = 2, .limit = 20, .service_time = 90ms});
+  this->Tell(3, {.running = 2, .limit = 20, .service_time = 90ms});
+  const auto counts = this->ChooseMany(4);
+  BOOST_TEST(counts.at(1) == 4);
+}
+
+// Pattern: a surge in one failure domain. What its endpoint has no slots for
+// goes to the others, and only that.
+BOOST_FIXTURE_TEST_CASE(LeavesItsFailureDomainByNeed, Fixture) {
+  for (std::uint32_t index = 1; index <= 3; ++index) {
+    this->Tell(index, {.limit = 20, .service_time = 100ms});
+  }
+  const auto counts = this->ChooseMany(30);
+  BOOST_TEST(counts.at(1) >= 14);
+  BOOST_TEST(counts.at(1) <= 20);
+  BOOST_TEST(counts.at(2) >= 3);
+  BOOST_TEST(counts.at(3) >= 3);
+}
+
+BOOST_FIXTURE_TEST_CASE(LeavesItsFailureDomainWhenThatFailsOrIsSlow, Fixture) {
+  this->Tell(1, {.limit = 20, .service_time = 100ms, .failure_share = 0.6});
+  this->Tell(2, {.limit = 20, .service_time = 100ms});
+  this->Tell(3, {.limit = 20, .service_time = 100ms});
+  BOOST_TEST(!this->ChooseMany(10).contains(1));
+  this->Tell(1, {.limit = 20, .service_time = 1200ms});
+  BOOST_TEST(!this->ChooseMany(10).contains(1));
+}
+
+// Pattern: many origins choose among many endpoints by the same old reports,
+// in which one endpoint looks a little better than all others.
+BOOST_FIXTURE_TEST_CASE(ManyOriginsWithOldReportsDoNotChooseTheSame, Fixture) {
+  constexpr std::uint32_t kEndpoints = 18;
+  constexpr int kOrigins = 40;
+  constexpr int kRequests = 5;
+  std::vector<membership::EndpointEntry> entries;
+  for (std::uint32_t index = 1; index <= kEndpoints; ++index) {
+    entries.push_back({.id = std::to_string(index),
+                       .service = "ledger",
+                       .address = {.ip = NodeAt(index).ip, .port = 8000},
+                       .failure_domain = "a",
+                       .slots = 50,
+                       .started_at = 5});
+  }
+  std::map<std::uint32_t, int> counts;
+  for (int origin = 0; origin < kOrigins; ++origin) {
+    this->fleet = membership::Fleet(
+        {.self = NodeAt(99), .node_port = kPort, .failure_domain = "a"});
+    this->fleet.SetList(this->now, entries);
+    for (std::uint32_t index = 1; index <= kEndpoints; ++index) {
+      this->Tell(index, {.running = 20,
+                         .limit = 50,
+                         .service_time = index == 7 ? 80ms : 100ms});
+    }
+    for (const auto& [index, count] : this->ChooseMany(kRequests)) {
+      counts[index] += count;
+    }
+  }
+  constexpr int kMean = kOrigins * kRequests / static_cast<int>(kEndpoints);
+  BOOST_TEST(counts.size() == kEndpoints);
+  for (const auto& [index, count] : counts) {
+    BOOST_TEST(count <= 5 * kMean, "endpoint " << index << " got " << count);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace agaterun::routing
