Membership: Heartbeats of all to all within a failure domain, sums of demand between domains

Cause: each heartbeat went to all of a small fleet, across borders too, with the demand of up to 14 routes; in a fleet beyond 24 nodes each heard from 12 at random, knew the demand of about a quarter and scaled that up, and noticed a silent node after 10 s. Change: all of a failure domain of up to 48 hear each other; two speakers of each domain, by an order that all nodes agree on, add its demand up and tell the speakers of the others, who tell their domains. Each part counts once and has an age. Other domains hear each second heartbeat without demand, in a large fleet three endpoints of each service do. A node where something was lost is asked whether it is back before it gets work again. Ranks without requests take no room in a frame.

--- a/libraries/admission/entry_admission.cc
+++ b/libraries/admission/entry_admission.cc
@@ -9,7 +9,6 @@
 
 using decision::DemandRank;
 using decision::kDemandRanks;
-using decision::RouteDemand;
 using decision::Standing;
 
 // Length of a slice; kSlices of them are what demand is averaged over.
@@ -22,9 +21,6 @@
 // Less slot time is taken for a route's mistaken visit to a service.
 constexpr Duration kLeastSlotTime = 500us;
 
-// Demand of a node that was not heard since is forgotten.
-constexpr Duration kPeerDemandTrusted = 1500ms;
-
 // A caller who comes back sooner did not wait as told.
 constexpr Duration kShortestRetryAfter = 200ms;
 
@@ -35,8 +31,6 @@
 constexpr Duration kFirstAttempt = 20ms;
 
 constexpr std::size_t kMostRoutes = 4096;
-constexpr std::size_t kMostToldRoutes = 14;
-constexpr double kThousand = 1000;
 
 }  // namespace
 
@@ -181,57 +175,12 @@
   this->costs.Learn(route, sample, latency, succeeded);
 }
 
-void EntryAdmission::SetPeerDemand(Instant now,
-                                   NodeAddress peer,
-                                   std::vector<RouteDemand> demand) {
-  this->peers[peer] = {.told = now, .demand = std::move(demand)};
-}
-
-std::vector<RouteDemand> EntryAdmission::OwnDemand(Instant now) {
-  std::vector<std::pair<double, RouteDemand>> demand;
+Demand EntryAdmission::OwnDemand(Instant now) {
+  Demand demand;
   for (auto& [route, meter] : this->own) {
-    const auto rate = meter.Rate(now);
-    RouteDemand entry{.route = route};
-    double sum = 0;
-    for (std::size_t rank = 0; rank < rate.size(); ++rank) {
-      sum += rate[rank];
-      entry.thousandths[rank] =
-          static_cast<std::uint32_t>(rate[rank] * kThousand);
-    }
-    if (sum > 0) {
-      demand.emplace_back(sum, std::move(entry));
-    }
-  }
-  // A heartbeat has room for some; those with most requests decide.
-  std::sort(demand.begin(), demand.end(),
-            [](const auto& a, const auto& b) { return a.first > b.first; });
-  std::vector<RouteDemand> told;
-  for (auto& [sum, entry] : demand) {
-    if (told.size() < kMostToldRoutes) {
-      told.push_back(std::move(entry));
-    }
-  }
-  return told;
-}
-
-EntryAdmission::Demand EntryAdmission::TotalDemand(Instant now,
-                                                   double heard_share) {
-  std::erase_if(this->peers, [&](const auto& item) {
-    return now - item.second.told > kPeerDemandTrusted;
-  });
-  Demand total;
-  for (auto& [route, meter] : this->own) {
-    total[route] = meter.Rate(now);
-  }
-  for (const auto& [node, peer] : this->peers) {
-    for (const auto& [route, thousandths] : peer.demand) {
-      auto& ranks = total[route];
-      for (std::size_t rank = 0; rank < ranks.size(); ++rank) {
-        ranks[rank] += thousandths[rank] / kThousand / heard_share;
-      }
-    }
+    demand[route] = meter.Rate(now);
   }
-  return total;
+  return demand;
 }
 
 void EntryAdmission::AdmitRank(const Demand& demand,
@@ -277,8 +226,8 @@
   }
 }
 
-void EntryAdmission::Update(Instant now, double heard_share) {
-  const auto demand = this->TotalDemand(now, heard_share);
+void EntryAdmission::Update(Instant now) {
+  const auto demand = this->others.Total(now, this->OwnDemand(now));
   Slots left;
   for (const auto& [service, slots] : this->capacity) {
     // A service of which no node can be used has no room at all: what needs it
--- a/libraries/admission/entry_admission.h
+++ b/libraries/admission/entry_admission.h
@@ -11,8 +11,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "libraries/admission/fleet_demand.h"
 #include "libraries/admission/route_costs.h"
-#include "libraries/base/node_address.h"
 #include "libraries/base/random.h"
 #include "libraries/base/time.h"
 #include "libraries/decision/messages.h"
@@ -61,17 +61,14 @@
     this->capacity = std::move(slots);
   }
 
-  // What the callers of another node ask for.
-  void SetPeerDemand(Instant now,
-                     NodeAddress peer,
-                     std::vector<decision::RouteDemand> demand);
+  // What the callers of other nodes ask for, as they told it.
+  FleetDemand& Others() { return this->others; }
 
   // What the callers of this node ask for.
-  std::vector<decision::RouteDemand> OwnDemand(Instant now);
+  Demand OwnDemand(Instant now);
 
-  // Computes anew what begins. `heard_share` is the part of the fleet whose
-  // demand has been heard, in (0, 1].
-  void Update(Instant now, double heard_share);
+  // Computes anew what begins.
+  void Update(Instant now);
 
   // A route of whose requests only a part begins, for the log.
   struct HeldBack {
@@ -86,7 +83,7 @@
   double ShareOf(std::string_view route, int rank) const;
 
  private:
-  using Ranks = std::array<double, decision::kDemandRanks>;
+  using Ranks = RankRates;
 
   // Requests a second over the last moments, in slices of time.
   class Meter {
@@ -103,11 +100,6 @@
     std::int64_t first = -1;
   };
 
-  struct PeerDemand {
-    Instant told{};
-    std::vector<decision::RouteDemand> demand;
-  };
-
   // What begins of a route.
   struct Admitted {
     Ranks shares{};
@@ -115,9 +107,7 @@
   };
 
   using Slots = std::map<std::string, double, std::less<>>;
-  using Demand = std::map<std::string, Ranks, std::less<>>;
 
-  Demand TotalDemand(Instant now, double heard_share);
   // Takes what fits of a rank out of `left`, for all routes alike.
   void AdmitRank(const Demand& demand, std::size_t rank, Slots& left);
 
@@ -128,7 +118,7 @@
   RouteCosts costs;
   Slots capacity;
   std::map<std::string, Meter, std::less<>> own;
-  std::unordered_map<NodeAddress, PeerDemand> peers;
+  FleetDemand others;
   std::map<std::string, Admitted, std::less<>> admitted;  // By route.
   // Part of a request that is owed, by route and rank: even parts need no
   // luck.
--- a/libraries/calls/call_origin.cc
+++ b/libraries/calls/call_origin.cc
@@ -190,13 +190,13 @@
   return true;
 }
 
-void CallOrigin::UpdateAdmission(Instant now, double heard_share) {
+void CallOrigin::UpdateAdmission(Instant now) {
   std::map<std::string, double, std::less<>> slots;
   for (const auto& service : this->fleet.Services()) {
     slots[service] = this->chooser.UsableSlots(now, service);
   }
   this->admission.SetCapacity(std::move(slots));
-  this->admission.Update(now, heard_share);
+  this->admission.Update(now);
 }
 
 Duration CallOrigin::PatienceOf(Instant now, const Call& call) const {
--- a/libraries/calls/call_origin.h
+++ b/libraries/calls/call_origin.h
@@ -106,7 +106,7 @@
 
   admission::EntryAdmission& Admission() { return this->admission; }
   // Holds demand against the slots that can be used now.
-  void UpdateAdmission(Instant now, double heard_share);
+  void UpdateAdmission(Instant now);
 
   std::size_t CallsInFlight() const { return this->calls.size(); }
 
--- a/libraries/decision/events.h
+++ b/libraries/decision/events.h
@@ -124,13 +124,15 @@
   std::vector<LeavingHint> leaving_hints;
   // What the callers of the sender ask for.
   std::vector<RouteDemand> demand;
+  std::vector<DemandSum> sums;
   std::vector<ToldCrash> crashes;
+  bool wants_answer = false;  // By a heartbeat, at once.
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->from, this->incarnation, this->state_digest, this->load,
             this->convicted, this->platform_age, this->leaving_hints,
-            this->demand, this->crashes);
+            this->demand, this->sums, this->crashes, this->wants_answer);
   }
 };
 
--- a/libraries/decision/heartbeat_peers.cc
+++ b/libraries/decision/heartbeat_peers.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <map>
 
+#include "libraries/base/scatter.h"
+
 namespace agaterun::decision {
 
 namespace {
@@ -11,16 +13,6 @@
 constexpr std::size_t kReaderCandidates = 6;
 constexpr std::size_t kOtherDomains = 4;
 
-// Places neighbouring addresses, which often share a rack, far apart.
-std::uint64_t Scatter(NodeAddress node) {
-  std::uint64_t mixed = (std::uint64_t{node.ip} << 16) | node.port;
-  mixed ^= mixed >> 31;
-  mixed *= 0x7fb5d329728ea185;
-  mixed ^= mixed >> 27;
-  mixed *= 0x81dadef4bc2dd44d;
-  return mixed ^ (mixed >> 33);
-}
-
 std::string DomainOf(std::string_view region, std::string_view domain) {
   return std::string(region) + "/" + std::string(domain);
 }
--- a/libraries/decision/messages.h
+++ b/libraries/decision/messages.h
@@ -118,12 +118,34 @@
   std::string route;
   std::array<std::uint32_t, kDemandRanks> thousandths{};
 
+  // Ranks without requests, most of them, are left out.
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(this->route);
-    for (auto& value : this->thousandths) {
-      archive(value);
+    std::uint16_t present = 0;
+    for (std::size_t rank = 0; rank < this->thousandths.size(); ++rank) {
+      present |=
+          static_cast<std::uint16_t>((this->thousandths[rank] != 0) << rank);
     }
+    archive(this->route, present);
+    for (std::size_t rank = 0; rank < this->thousandths.size(); ++rank) {
+      if ((present >> rank & 1) != 0) {
+        archive(this->thousandths[rank]);
+      }
+    }
+  }
+};
+
+// Demand of many nodes, added up.
+struct DemandSum {
+  // Empty: all failure domains but the sender's.
+  std::string failure_domain;
+  Duration age{};  // Of its oldest part.
+  std::uint32_t nodes = 0;
+  std::vector<RouteDemand> routes;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->failure_domain, this->age, this->nodes, this->routes);
   }
 };
 
--- a/libraries/membership/fleet.cc
+++ b/libraries/membership/fleet.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <set>
 
+#include "libraries/base/scatter.h"
+
 namespace agaterun::membership {
 
 namespace {
@@ -14,12 +16,18 @@
 // Silence that tells of a loss. Heartbeats come several times in it.
 constexpr Duration kSilence = 1s;
 
-// A heartbeat comes from each node of a small fleet every 300 ms, from each of
-// a large one now and then.
+// Up to these sizes each node hears all others: of its failure domain, and of
+// the whole fleet.
+constexpr std::size_t kSmallDomain = 48;
 constexpr std::size_t kSmallFleet = 24;
-constexpr Duration kLongestPause = 1200ms;
+
+// Four heartbeats within a failure domain, three and a half from elsewhere.
+constexpr Duration kLongestPauseNear = 1200ms;
+constexpr Duration kLongestPauseFar = 2100ms;
 constexpr Duration kLongestPauseInLargeFleet = 10s;
 
+constexpr std::size_t kSpeakersPerDomain = 2;
+
 // Weight of the latest answer in the share of failures.
 constexpr double kFailureWeight = 0.08;
 
@@ -28,6 +36,10 @@
 
 }  // namespace
 
+std::uint64_t RankOf(NodeAddress node, NodeAddress other) {
+  return Scatter(other, Scatter(node));
+}
+
 FleetNode& Fleet::At(NodeAddress node) {
   auto& entry = this->nodes[node];
   entry.node = node;
@@ -73,6 +85,13 @@
   for (auto& [service, addresses] : this->by_service) {
     std::sort(addresses.begin(), addresses.end());
   }
+  this->near.clear();
+  for (const auto& [address, node] : this->nodes) {
+    if (this->IsNear(node)) {
+      this->near.push_back(address);
+    }
+  }
+  std::sort(this->near.begin(), this->near.end());
 }
 
 void Fleet::ForgetGone(Instant now) {
@@ -169,9 +188,58 @@
   }
 }
 
-Duration Fleet::LongestPause() const {
-  return this->nodes.size() <= kSmallFleet ? kLongestPause
-                                           : kLongestPauseInLargeFleet;
+bool Fleet::HearsAllNear() const {
+  return this->near.size() <= kSmallDomain;
+}
+
+bool Fleet::IsSmall() const {
+  return this->nodes.size() <= kSmallFleet;
+}
+
+Duration Fleet::LongestPause(const FleetNode& node) const {
+  if (this->IsNear(node)) {
+    return this->HearsAllNear() ? kLongestPauseNear : kLongestPauseInLargeFleet;
+  }
+  return this->IsSmall() ? kLongestPauseFar : kLongestPauseInLargeFleet;
+}
+
+std::vector<std::string> Fleet::OtherDomains() const {
+  std::set<std::string> domains;
+  for (const auto& [address, node] : this->nodes) {
+    if (node.listed && !this->IsNear(node)) {
+      domains.insert(node.failure_domain);
+    }
+  }
+  return {domains.begin(), domains.end()};
+}
+
+bool Fleet::MaySpeak(Instant now, const FleetNode& node) const {
+  if (node.node == this->options.self) {
+    return true;
+  }
+  return node.listed && node.HeardSinceLoss() && !node.load.leaving &&
+         (!node.last_heard ||
+          now - *node.last_heard < this->LongestPause(node));
+}
+
+std::vector<NodeAddress> Fleet::Speakers(Instant now,
+                                         std::string_view domain) const {
+  std::vector<NodeAddress> speakers;
+  for (const auto& [address, node] : this->nodes) {
+    if (node.failure_domain == domain && this->MaySpeak(now, node)) {
+      speakers.push_back(address);
+    }
+  }
+  std::sort(speakers.begin(), speakers.end(), [](auto left, auto right) {
+    return Scatter(left) < Scatter(right);
+  });
+  speakers.resize(std::min(speakers.size(), kSpeakersPerDomain));
+  return speakers;
+}
+
+bool Fleet::IsSpeaker(Instant now, NodeAddress node) const {
+  const auto speakers = this->Speakers(now, this->options.failure_domain);
+  return std::find(speakers.begin(), speakers.end(), node) != speakers.end();
 }
 
 std::vector<NodeAddress> Fleet::SilentNodes(Instant now) const {
--- a/libraries/membership/fleet.h
+++ b/libraries/membership/fleet.h
@@ -17,6 +17,9 @@
 
 namespace agaterun::membership {
 
+// Order of `other` among the nodes that `node` chooses from.
+std::uint64_t RankOf(NodeAddress node, NodeAddress other);
+
 // What this node knows of another one and of the backend server beside it.
 struct FleetNode {
   NodeAddress node;
@@ -41,6 +44,12 @@
   Instant last_loss{};
   double failure_share = 0;  // Of the answers, lately.
   Instant failure_told{};
+
+  // Nothing was lost there since it last spoke.
+  bool HeardSinceLoss() const {
+    return this->losses == 0 ||
+           (this->last_heard && *this->last_heard > this->last_loss);
+  }
 };
 
 // The nodes of the fleet, by what the platform lists and what they say.
@@ -91,9 +100,26 @@
   // An attempt ended without a word; `silent` when there was time for one.
   void AttemptEnded(Instant now, NodeAddress node, bool silent);
 
-  // Time without a word from a node after which it counts as cut off: several
-  // heartbeats of a small fleet, in which each hears all others.
-  Duration LongestPause() const;
+  // Time without a word from the node after which it counts as cut off:
+  // several of the heartbeats that this node hears from it.
+  Duration LongestPause(const FleetNode& node) const;
+
+  const std::string& OwnDomain() const { return this->options.failure_domain; }
+  bool IsNear(const FleetNode& node) const {
+    return node.failure_domain == this->options.failure_domain;
+  }
+  // Nodes of this failure domain, in order.
+  const std::vector<NodeAddress>& NodesNear() const { return this->near; }
+  // Each node of this failure domain hears all others of it.
+  bool HearsAllNear() const;
+  // Each node hears those of other failure domains, if less often.
+  bool IsSmall() const;
+  std::vector<std::string> OtherDomains() const;
+
+  // The nodes that speak for a failure domain, by an order in which all nodes
+  // agree: they add up its demand and tell it to the speakers of others.
+  std::vector<NodeAddress> Speakers(Instant now, std::string_view domain) const;
+  bool IsSpeaker(Instant now, NodeAddress node) const;
 
   // Nodes that are silent although attempts wait there.
   std::vector<NodeAddress> SilentNodes(Instant now) const;
@@ -103,11 +129,13 @@
  private:
   FleetNode& At(NodeAddress node);
   void ForgetGone(Instant now);
+  bool MaySpeak(Instant now, const FleetNode& node) const;
 
   Options options;
   std::vector<EndpointEntry> list;
   std::unordered_map<NodeAddress, FleetNode> nodes;
   std::map<std::string, std::vector<NodeAddress>, std::less<>> by_service;
+  std::vector<NodeAddress> near;
 };
 
 }  // namespace agaterun::membership
--- /dev/null
+++ b/libraries/membership/heartbeat_plan.cc
@@ -0,0 +1,126 @@
+#include "libraries/membership/heartbeat_plan.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace agaterun::membership {
+
+namespace {
+
+// Nodes of a large failure domain that hear each heartbeat.
+constexpr std::size_t kNearTargets = 12;
+
+// Other failure domains hear each second heartbeat.
+constexpr int kFarRounds = 2;
+
+// Of a large fleet, the endpoints of each service in other failure domains
+// that a node keeps in touch with.
+constexpr std::size_t kFarPerService = 3;
+
+// Lost nodes that are asked at once whether they are back.
+constexpr std::size_t kMostLostAsked = 8;
+
+}  // namespace
+
+void HeartbeatPlan::AddNear(Instant now,
+                            const Fleet& fleet,
+                            std::vector<HeartbeatTarget>& targets) {
+  auto near = fleet.NodesNear();
+  std::erase(near, this->self);
+  if (!fleet.HearsAllNear()) {
+    for (std::size_t drawn = 0; drawn < kNearTargets; ++drawn) {
+      std::swap(near[drawn],
+                near[drawn + this->random.Below(near.size() - drawn)]);
+    }
+    near.resize(kNearTargets);
+    // Who adds up the demand of the domain has to hear everyone.
+    const auto speakers = fleet.Speakers(now, fleet.OwnDomain());
+    near.insert(near.end(), speakers.begin(), speakers.end());
+  }
+  for (const auto node : near) {
+    targets.push_back({.node = node, .kind = HeartbeatKind::kNear});
+  }
+}
+
+void HeartbeatPlan::AddFar(const Fleet& fleet,
+                           std::vector<HeartbeatTarget>& targets) {
+  std::map<std::string_view, std::vector<NodeAddress>> by_service;
+  for (const auto& [address, node] : fleet.All()) {
+    if (!fleet.IsNear(node) && node.listed) {
+      by_service[node.service].push_back(address);
+    }
+  }
+  for (auto& [service, nodes] : by_service) {
+    if (!fleet.IsSmall() && nodes.size() > kFarPerService) {
+      // Each node has others, so that all endpoints are covered evenly.
+      std::sort(nodes.begin(), nodes.end(), [this](auto left, auto right) {
+        return RankOf(this->self, left) < RankOf(this->self, right);
+      });
+      nodes.resize(kFarPerService);
+    }
+    for (const auto node : nodes) {
+      targets.push_back({.node = node,
+                         .kind = HeartbeatKind::kFar,
+                         .wants_answer = !fleet.IsSmall()});
+    }
+  }
+}
+
+void HeartbeatPlan::AddLost(const Fleet& fleet,
+                            std::vector<HeartbeatTarget>& targets) {
+  std::vector<NodeAddress> lost;
+  for (const auto& [address, node] : fleet.All()) {
+    if (node.listed && !node.HeardSinceLoss()) {
+      lost.push_back(address);
+    }
+  }
+  std::sort(lost.begin(), lost.end());
+  const auto count = std::min(lost.size(), kMostLostAsked);
+  for (std::size_t drawn = 0; drawn < count; ++drawn) {
+    std::swap(lost[drawn],
+              lost[drawn + this->random.Below(lost.size() - drawn)]);
+    targets.push_back({.node = lost[drawn],
+                       .kind = HeartbeatKind::kFar,
+                       .wants_answer = true});
+  }
+}
+
+std::vector<HeartbeatTarget> HeartbeatPlan::Next(
+    Instant now,
+    const Fleet& fleet,
+    const std::vector<NodeAddress>& waiting) {
+  std::vector<HeartbeatTarget> targets;
+  this->AddNear(now, fleet, targets);
+  if (fleet.IsSpeaker(now, this->self)) {
+    for (const auto& domain : fleet.OtherDomains()) {
+      for (const auto node : fleet.Speakers(now, domain)) {
+        targets.push_back({.node = node, .kind = HeartbeatKind::kSpeaker});
+      }
+    }
+  }
+  for (const auto node : waiting) {
+    targets.push_back({.node = node, .kind = HeartbeatKind::kFar});
+  }
+  if (++this->rounds % kFarRounds == 0) {
+    this->AddFar(fleet, targets);
+  }
+  this->AddLost(fleet, targets);
+  // Of several for one node, the one that tells most; it asks if any asks.
+  std::sort(targets.begin(), targets.end(),
+            [](const auto& left, const auto& right) {
+              return std::pair(left.node, left.kind) <
+                     std::pair(right.node, right.kind);
+            });
+  std::vector<HeartbeatTarget> merged;
+  for (const auto& target : targets) {
+    if (!merged.empty() && merged.back().node == target.node) {
+      merged.back().wants_answer |= target.wants_answer;
+    } else if (target.node != this->self) {
+      merged.push_back(target);
+    }
+  }
+  return merged;
+}
+
+}  // namespace agaterun::membership
--- a/libraries/membership/state_spread.cc
+++ b/libraries/membership/state_spread.cc
@@ -1,8 +1,6 @@
 #include "libraries/membership/state_spread.h"
 
-#include <algorithm>
 #include <cereal/cereal.hpp>
-#include <cmath>
 #include <string_view>
 #include <utility>
 
@@ -23,10 +21,6 @@
 // While the platform does not answer, the list is asked for this often.
 constexpr Duration kListInterval = 700ms;
 
-// Nodes that hear each heartbeat in a large fleet. With one every 300 ms, news
-// reach hundreds of nodes in under two seconds.
-constexpr std::size_t kHeartbeatTargets = 12;
-
 constexpr std::size_t kMostAsked = 4096;
 
 }  // namespace
@@ -116,30 +110,4 @@
   return std::nullopt;
 }
 
-double StateSpread::HeardShare(std::size_t fleet_size, int rounds) {
-  if (fleet_size <= 2 * kHeartbeatTargets) {
-    return 1;
-  }
-  const double missed = 1 - static_cast<double>(kHeartbeatTargets) /
-                                static_cast<double>(fleet_size);
-  return 1 - std::pow(missed, rounds);
-}
-
-std::vector<NodeAddress> StateSpread::HeartbeatTargets(
-    const std::vector<NodeAddress>& fleet,
-    const std::vector<NodeAddress>& waiting) {
-  std::vector<NodeAddress> targets = waiting;
-  if (fleet.size() <= 2 * kHeartbeatTargets) {
-    targets.insert(targets.end(), fleet.begin(), fleet.end());
-  } else {
-    for (std::size_t count = 0; count < kHeartbeatTargets; ++count) {
-      targets.push_back(fleet[this->random.Below(fleet.size())]);
-    }
-  }
-  std::sort(targets.begin(), targets.end());
-  targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
-  std::erase(targets, this->self);
-  return targets;
-}
-
 }  // namespace agaterun::membership
--- a/libraries/membership/state_spread.h
+++ b/libraries/membership/state_spread.h
@@ -20,8 +20,7 @@
 class StateSpread {
  public:
   // `random` outlives this.
-  StateSpread(NodeAddress self, RandomSource& random)
-      : self(self), random(random) {}
+  explicit StateSpread(RandomSource& random) : random(random) {}
 
   // A configuration came into force. `text` is what the platform published.
   void SetConfiguration(std::uint64_t version, std::string text);
@@ -49,18 +48,7 @@
   static std::optional<EndpointList> ReadList(
       const std::vector<decision::TicketItemText>& items);
 
-  // Nodes that hear the next heartbeat: all of a small fleet, some of a large
-  // one, and always `waiting`, the origins of requests that run here.
-  std::vector<NodeAddress> HeartbeatTargets(
-      const std::vector<NodeAddress>& fleet,
-      const std::vector<NodeAddress>& waiting);
-
-  // Part of a fleet of this size whose heartbeats reach one node within
-  // `rounds` of them.
-  static double HeardShare(std::size_t fleet_size, int rounds);
-
  private:
-  NodeAddress self;
   RandomSource& random;
   std::uint64_t version = 0;
   std::string text;
--- a/libraries/node/heartbeat_socket.cc
+++ b/libraries/node/heartbeat_socket.cc
@@ -39,6 +39,11 @@
       heartbeat.crashes.pop_back();
     } else if (!heartbeat.demand.empty()) {
       heartbeat.demand.pop_back();
+    } else if (!heartbeat.sums.empty() &&
+               !heartbeat.sums.back().routes.empty()) {
+      heartbeat.sums.back().routes.pop_back();
+    } else if (!heartbeat.sums.empty()) {
+      heartbeat.sums.pop_back();
     } else if (!heartbeat.convicted.empty()) {
       heartbeat.convicted.pop_back();
     } else {
--- a/libraries/proxy/proxy_node.cc
+++ b/libraries/proxy/proxy_node.cc
@@ -20,8 +20,6 @@
 
 constexpr Duration kTickInterval = 50ms;
 constexpr Duration kHeartbeatInterval = 300ms;
-// Heartbeats of one node in the time for which its demand is trusted.
-constexpr int kHeartbeatsInDemand = 5;
 
 // Time for which a connection to another node waits for it.
 constexpr Duration kLinkTimeout = 1s;
@@ -54,7 +52,8 @@
              this->fleet,
              this->random,
              *this),
-      spread(this->settings.node, this->random),
+      spread(this->random),
+      heartbeat_plan(this->settings.node, this->random),
       wake_timer(io),
       tick_timer(io) {
   this->SetSettings(this->settings);
@@ -235,12 +234,26 @@
 
 void ProxyNode::OnHeartbeat(decision::Heartbeat heartbeat) {
   this->fleet.TakeLoad(this->Now(), heartbeat.from, heartbeat.load);
-  this->origin.Admission().SetPeerDemand(this->Now(), heartbeat.from,
-                                         std::move(heartbeat.demand));
+  this->TakeDemand(heartbeat);
   for (const auto& crash : heartbeat.crashes) {
     this->crashes.NoteToldCrash(this->Now(), crash);
   }
   this->OnDigestSeen(heartbeat.from, heartbeat.state_digest);
+  if (heartbeat.wants_answer) {
+    this->SendHeartbeat(
+        {.node = heartbeat.from, .kind = membership::HeartbeatKind::kFar});
+  }
+}
+
+void ProxyNode::TakeDemand(const decision::Heartbeat& heartbeat) {
+  auto& others = this->origin.Admission().Others();
+  const auto* sender = this->fleet.Find(heartbeat.from);
+  if (sender != nullptr && this->fleet.IsNear(*sender)) {
+    others.TakePart(this->Now(), heartbeat.from, heartbeat.demand);
+  }
+  for (const auto& sum : heartbeat.sums) {
+    others.TakeSum(this->Now(), this->fleet.OwnDomain(), sum);
+  }
 }
 
 void ProxyNode::OnDigestSeen(NodeAddress peer, std::uint64_t digest) {
@@ -466,9 +479,7 @@
   this->OnTick();
   const auto now = this->Now();
   this->TakeOwnLoad();
-  this->origin.UpdateAdmission(
-      now, membership::StateSpread::HeardShare(this->fleet.All().size(),
-                                               kHeartbeatsInDemand));
+  this->origin.UpdateAdmission(now);
   if (this->call_log.IsLoadDue(now)) {
     this->call_log.NoteLoad(now, this->gate.Load(now),
                             this->origin.Admission().HeldBackRoutes());
@@ -516,17 +527,59 @@
   for (const auto& [attempt, from] : this->visit_origins) {
     waiting.push_back(from);
   }
-  const decision::Heartbeat heartbeat{
-      .from = this->settings.node,
-      .incarnation = this->incarnation,
-      .state_digest = this->spread.Version(),
-      .load = this->gate.Load(this->Now()),
-      .demand = this->origin.Admission().OwnDemand(this->Now()),
-      .crashes = this->crashes.ToTell(this->Now())};
-  for (const auto target :
-       this->spread.HeartbeatTargets(this->FleetAddresses(), waiting)) {
-    this->links->SendHeartbeat(target, heartbeat);
+  for (const auto& target :
+       this->heartbeat_plan.Next(this->Now(), this->fleet, waiting)) {
+    this->SendHeartbeat(target);
+  }
+}
+
+void ProxyNode::SendHeartbeat(const membership::HeartbeatTarget& target) {
+  const auto now = this->Now();
+  decision::Heartbeat heartbeat{.from = this->settings.node,
+                                .incarnation = this->incarnation,
+                                .state_digest = this->spread.Version(),
+                                .load = this->gate.Load(now),
+                                .crashes = this->crashes.ToTell(now),
+                                .wants_answer = target.wants_answer};
+  auto& admission = this->origin.Admission();
+  const auto& domain = this->fleet.OwnDomain();
+  switch (target.kind) {
+    case membership::HeartbeatKind::kFar:
+      break;
+    case membership::HeartbeatKind::kSpeaker:
+      heartbeat.sums = {
+          admission.Others().OwnDomain(now, domain, admission.OwnDemand(now))};
+      break;
+    case membership::HeartbeatKind::kNear:
+      heartbeat.demand = admission::ToldDemand(admission.OwnDemand(now));
+      heartbeat.sums = this->SumsForNear(now);
+      break;
+  }
+  this->links->SendHeartbeat(target.node, heartbeat);
+}
+
+std::vector<decision::DemandSum> ProxyNode::SumsForNear(Instant now) {
+  auto& admission = this->origin.Admission();
+  const bool is_speaker = this->fleet.IsSpeaker(now, this->settings.node);
+  const bool is_large = !this->fleet.HearsAllNear();
+  std::vector<decision::DemandSum> sums;
+  if (!is_speaker && !is_large) {
+    return sums;
+  }
+  // In a large domain each node passes on what it heard.
+  if (auto sum = admission.Others().Elsewhere(now); sum.nodes > 0) {
+    sums.push_back(std::move(sum));
+  }
+  if (is_large) {
+    auto sum = is_speaker
+                   ? admission.Others().OwnDomain(now, this->fleet.OwnDomain(),
+                                                  admission.OwnDemand(now))
+                   : admission.Others().NearSum(now);
+    if (sum.nodes > 0) {
+      sums.push_back(std::move(sum));
+    }
   }
+  return sums;
 }
 
 void ProxyNode::Stop() {
--- a/libraries/proxy/proxy_node.h
+++ b/libraries/proxy/proxy_node.h
@@ -18,6 +18,7 @@
 #include "libraries/calls/visit_gate.h"
 #include "libraries/membership/directory_source.h"
 #include "libraries/membership/fleet.h"
+#include "libraries/membership/heartbeat_plan.h"
 #include "libraries/membership/local_entry.h"
 #include "libraries/membership/state_spread.h"
 #include "libraries/node/log_limiter.h"
@@ -155,6 +156,9 @@
   // Also tells the others at once.
   void TellOwnLoad();
   void SendHeartbeats();
+  void SendHeartbeat(const membership::HeartbeatTarget& target);
+  std::vector<decision::DemandSum> SumsForNear(Instant now);
+  void TakeDemand(const decision::Heartbeat& heartbeat);
   std::vector<NodeAddress> FleetAddresses() const;
 
   asio::io_context& io;
@@ -170,6 +174,7 @@
   calls::CallOrigin origin;
   CallLog call_log;
   membership::StateSpread spread;
+  membership::HeartbeatPlan heartbeat_plan;
   membership::LocalEntry local_entry;
   decision::CallId call_ids = 1;
   std::unordered_map<decision::AttemptId, NodeAddress> visit_origins;
--- a/libraries/routing/endpoint_chooser.cc
+++ b/libraries/routing/endpoint_chooser.cc
@@ -134,12 +134,11 @@
   if (node.node == this->options.self) {
     return true;
   }
-  if (node.losses > 0 &&
-      (!node.last_heard || *node.last_heard <= node.last_loss)) {
+  if (!node.HeardSinceLoss()) {
     return false;
   }
   return !node.last_heard ||
-         now - *node.last_heard < this->fleet.LongestPause();
+         now - *node.last_heard < this->fleet.LongestPause(node);
 }
 
 EndpointChooser::Usual EndpointChooser::UsualOf(
--- a/tests/admission/entry_admission_test.cc
+++ b/tests/admission/entry_admission_test.cc
@@ -43,7 +43,7 @@
     for (int step = 0; step < kSteps; ++step) {
       this->now += 1ms;
       if (step % 50 == 0) {
-        this->admission.Update(this->now, 1.0);
+        this->admission.Update(this->now);
       }
       for (const auto& kind : kinds) {
         const int due = (step + 1) * kind.per_second / kSteps -
@@ -120,7 +120,7 @@
   told.thousandths[static_cast<std::size_t>(
       DemandRank(Importance::kCritical, Standing::kNew))] = 100'000;
   const auto tell = [&] {
-    this->admission.SetPeerDemand(this->now, {.ip = 1, .port = 1}, {told});
+    this->admission.Others().TakePart(this->now, {.ip = 1, .port = 1}, {told});
   };
   tell();
   this->RunSecond({this->drafts});
@@ -132,7 +132,7 @@
 BOOST_FIXTURE_TEST_CASE(ANodeThatFellSilentIsForgotten, Fixture) {
   decision::RouteDemand told{.route = "packet"};
   told.thousandths[0] = 1'000'000;
-  this->admission.SetPeerDemand(this->now, {.ip = 1, .port = 1}, {told});
+  this->admission.Others().TakePart(this->now, {.ip = 1, .port = 1}, {told});
   this->now += 1600ms;
   this->drafts.per_second = 100;
   BOOST_TEST(this->RunSecond({this->drafts}).at("draft") > 0.999);
@@ -163,7 +163,7 @@
   constexpr int kReturns = 100;
   for (int step = 0; step < kReturns; ++step) {
     this->now += 10ms;
-    this->admission.Update(this->now, 1.0);
+    this->admission.Update(this->now);
     const auto verdict =
         this->admission.Decide(this->now, {.route = "draft",
                                            .importance = Importance::kNormal,
@@ -210,7 +210,7 @@
 BOOST_FIXTURE_TEST_CASE(NothingIsRefusedBeforeAnythingIsKnown, Fixture) {
   EntryAdmission fresh(this->random);
   fresh.SetCapacity({{"ledger", 1}});
-  fresh.Update(this->now, 1.0);
+  fresh.Update(this->now);
   const auto verdict = fresh.Decide(this->now, {.route = "draft"});
   BOOST_TEST(verdict.admitted);
 }
--- a/tests/calls/call_origin_test.cc
+++ b/tests/calls/call_origin_test.cc
@@ -349,7 +349,7 @@
   constexpr decision::CallId kCalls = 300;
   for (decision::CallId call = 1; call <= kCalls; ++call) {
     this->now += 10ms;
-    this->origin.UpdateAdmission(this->now, 1.0);
+    this->origin.UpdateAdmission(this->now);
     const auto sent = this->output.sent.size();
     this->Ask(call, "/read/1");
     if (this->output.sent.size() == sent) {
--- /dev/null
+++ b/tests/membership/heartbeat_plan_test.cc
@@ -0,0 +1,130 @@
+#include "libraries/membership/heartbeat_plan.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <set>
+
+namespace agaterun::membership {
+
+BOOST_AUTO_TEST_SUITE(HeartbeatPlanTest)
+
+constexpr std::uint16_t kPort = 7300;
+constexpr std::uint32_t kDomainStep = 1000;
+
+// Failure domains "0", "1" ... of `size` nodes each; the node under test is
+// the first of the first.
+struct Fixture {
+  void Build(std::uint32_t domains, std::uint32_t size) {
+    std::vector<EndpointEntry> entries;
+    for (std::uint32_t domain = 0; domain < domains; ++domain) {
+      for (std::uint32_t index = 1; index <= size; ++index) {
+        entries.push_back(
+            {.id = std::to_string(domain) + "-" + std::to_string(index),
+             .service = index % 2 == 0 ? "drafts" : "vault",
+             .address = {.ip = domain * kDomainStep + index, .port = 8000},
+             .failure_domain = std::to_string(domain),
+             .slots = 10,
+             .started_at = 5});
+      }
+    }
+    this->fleet.SetList(this->now, entries);
+  }
+
+  std::vector<HeartbeatTarget> Next(
+      const std::vector<NodeAddress>& waiting = {}) {
+    return this->plan.Next(this->now, this->fleet, waiting);
+  }
+
+  static bool IsNear(const HeartbeatTarget& target) {
+    return target.node.ip < kDomainStep;
+  }
+
+  Instant now = 100s;
+  SeededRandom random{5};
+  NodeAddress self{.ip = 1, .port = kPort};
+  Fleet fleet{{.self = this->self, .node_port = kPort, .failure_domain = "0"}};
+  HeartbeatPlan plan{this->self, this->random};
+};
+
+BOOST_FIXTURE_TEST_CASE(AllOfADomainHearEachOther, Fixture) {
+  this->Build(3, 13);
+  const auto targets = this->Next();
+  BOOST_TEST(std::count_if(targets.begin(), targets.end(), IsNear) == 12);
+}
+
+// Distance costs: between two domains only speakers talk at each heartbeat.
+BOOST_FIXTURE_TEST_CASE(FewMessagesCrossABorder, Fixture) {
+  this->Build(5, 39);
+  int far = 0;
+  constexpr int kRounds = 10;
+  for (int round = 0; round < kRounds; ++round) {
+    const auto targets = this->Next();
+    far +=
+        static_cast<int>(targets.size()) -
+        static_cast<int>(std::count_if(targets.begin(), targets.end(), IsNear));
+  }
+  // Three endpoints of two services each second round, two speakers of four
+  // domains each round when this node speaks.
+  const bool speaks = this->fleet.IsSpeaker(this->now, this->self);
+  BOOST_TEST(far <= kRounds * (speaks ? 8 : 0) + kRounds / 2 * 6);
+}
+
+BOOST_FIXTURE_TEST_CASE(CostsNoMoreInAFleetOfTheTargetSize, Fixture) {
+  this->Build(5, 142);
+  for (int round = 0; round < 10; ++round) {
+    BOOST_TEST(this->Next().size() <= 12U + 2 + 8 + 6);
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(ALostNodeIsAskedWhetherItIsBack, Fixture) {
+  this->Build(2, 30);
+  const NodeAddress lost{.ip = kDomainStep + 7, .port = kPort};
+  const auto is_asked = [&] {
+    const auto targets = this->Next();
+    return std::any_of(targets.begin(), targets.end(), [&](const auto& target) {
+      return target.node == lost && target.wants_answer;
+    });
+  };
+  this->fleet.AttemptSent(this->now, lost);
+  this->fleet.AttemptEnded(this->now, lost, /*silent=*/true);
+  BOOST_TEST(is_asked());
+  BOOST_TEST(is_asked());
+  this->now += 100ms;
+  this->fleet.Heard(this->now, lost);
+  BOOST_TEST(!(is_asked() && is_asked()));
+}
+
+BOOST_FIXTURE_TEST_CASE(WhoWaitsHearsWhateverItsPlace, Fixture) {
+  this->Build(5, 142);
+  const NodeAddress waiting{.ip = 4 * kDomainStep + 99, .port = kPort};
+  const auto targets = this->Next({waiting, this->self});
+  std::map<NodeAddress, int> counts;
+  for (const auto& target : targets) {
+    counts[target.node] += 1;
+  }
+  BOOST_TEST(counts[waiting] == 1);
+  BOOST_TEST(counts[this->self] == 0);
+}
+
+// All nodes name the same speakers, and others when those fall silent.
+BOOST_FIXTURE_TEST_CASE(ASpeakerThatFallsSilentIsReplaced, Fixture) {
+  this->Build(1, 20);
+  const auto before = this->fleet.Speakers(this->now, "0");
+  BOOST_TEST(before.size() == 2U);
+  for (std::uint32_t index = 2; index <= 20; ++index) {
+    const NodeAddress node{.ip = index, .port = kPort};
+    this->fleet.Heard(this->now, node);
+    this->fleet.Heard(this->now + (node == before[0] ? 0s : 2s), node);
+  }
+  const auto after = this->fleet.Speakers(this->now + 2s, "0");
+  if (before[0] != this->self) {
+    BOOST_TEST(
+        (std::find(after.begin(), after.end(), before[0]) == after.end()));
+  }
+  BOOST_TEST(after.size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace agaterun::membership
--- a/tests/membership/state_spread_test.cc
+++ b/tests/membership/state_spread_test.cc
@@ -7,7 +7,6 @@
 
 BOOST_AUTO_TEST_SUITE(StateSpreadTest)
 
-constexpr NodeAddress kSelf{.ip = 1, .port = 7300};
 constexpr NodeAddress kPeer{.ip = 2, .port = 7300};
 
 std::vector<NodeAddress> FleetOf(std::uint32_t size) {
@@ -21,7 +20,7 @@
 struct Fixture {
   Instant now = 100s;
   SeededRandom random{5};
-  StateSpread spread{kSelf, this->random};
+  StateSpread spread{this->random};
 };
 
 BOOST_FIXTURE_TEST_CASE(AsksOnlyWhoKnowsMoreAndNotAllTheTime, Fixture) {
@@ -79,25 +78,6 @@
       this->spread.PeerForList(this->now + 1s, false, fleet).has_value());
 }
 
-BOOST_FIXTURE_TEST_CASE(TellsAllOfASmallFleetAndSomeOfALargeOne, Fixture) {
-  BOOST_TEST(this->spread.HeartbeatTargets(FleetOf(12), {}).size() == 12U);
-  const NodeAddress waiting{.ip = 9999, .port = 7300};
-  const auto targets =
-      this->spread.HeartbeatTargets(FleetOf(700), {waiting, kSelf});
-  BOOST_TEST(targets.size() <= 13U);
-  BOOST_TEST(
-      (std::find(targets.begin(), targets.end(), waiting) != targets.end()));
-  BOOST_TEST(
-      (std::find(targets.begin(), targets.end(), kSelf) == targets.end()));
-}
-
-BOOST_FIXTURE_TEST_CASE(KnowsWhichPartOfTheFleetIsHeard, Fixture) {
-  BOOST_TEST(StateSpread::HeardShare(12, 5) == 1);
-  const double heard = StateSpread::HeardShare(90, 5);
-  BOOST_TEST(heard > 0.5);
-  BOOST_TEST(heard < 0.53);
-}
-
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace agaterun::membership
