--- a/libraries/decision/events.h
+++ b/libraries/decision/events.h
@@ -112,6 +112,13 @@
   }
 };
 
+// Whether a node reads the platform for its failure domain.
+enum class PlatformReading : std::uint8_t {
+  kNone,
+  kTries,    // Without success.
+  kFollows,  // It hears of every change.
+};
+
 struct Heartbeat {
   NodeAddress from;
   std::uint64_t incarnation = 0;
@@ -127,12 +134,19 @@
   std::vector<DemandSum> sums;
   std::vector<ToldCrash> crashes;
   bool wants_answer = false;  // By a heartbeat, at once.
+  // What the sender knows of the platform's endpoints: equal for the same
+  // ones, and the revision that it is complete up to. `platform_age` is how old
+  // that is.
+  std::uint64_t directory_digest = 0;
+  std::uint64_t directory_revision = 0;
+  PlatformReading reading = PlatformReading::kNone;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(this->from, this->incarnation, this->state_digest, this->load,
             this->convicted, this->platform_age, this->leaving_hints,
-            this->demand, this->sums, this->crashes, this->wants_answer);
+            this->demand, this->sums, this->crashes, this->wants_answer,
+            this->directory_digest, this->directory_revision, this->reading);
   }
 };
 
--- /dev/null
+++ b/libraries/membership/directory.cc
@@ -0,0 +1,152 @@
+#include "libraries/membership/directory.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "libraries/node/frame_archive.h"
+
+namespace agaterun::membership {
+
+namespace {
+
+// Removals that are kept to tell other nodes.
+constexpr std::size_t kMostRemovals = 256;
+
+// Of what others act on. Revision and warm-up change without that.
+std::uint64_t HashOf(EndpointEntry entry) {
+  entry.revision = 0;
+  entry.cold_for = {};
+  std::string bytes;
+  node::FrameOutputArchive archive(bytes);
+  archive(entry);
+  return XXH64(bytes.data(), bytes.size(), 0);
+}
+
+}  // namespace
+
+bool Directory::TakeEntry(const EndpointEntry& entry) {
+  const auto known = this->entries.find(entry.id);
+  if (known != this->entries.end()) {
+    auto& [held, changed_at] = known->second;
+    if (entry.revision < held.revision) {
+      return false;
+    }
+    const auto before = HashOf(held);
+    const auto after = HashOf(entry);
+    held = entry;
+    this->digest += after - before;
+    changed_at = before == after ? changed_at : entry.revision;
+    return before != after;
+  }
+  // Whatever was there at the complete revision is known, so this is gone.
+  const auto gone = this->removed.find(entry.id);
+  if (entry.revision <= this->complete ||
+      (gone != this->removed.end() && entry.revision <= gone->second)) {
+    return false;
+  }
+  this->entries.emplace(entry.id,
+                        Known{.entry = entry, .changed_at = entry.revision});
+  this->digest += HashOf(entry);
+  return true;
+}
+
+bool Directory::TakeRemoval(const std::string& id, std::uint64_t revision) {
+  const auto known = this->entries.find(id);
+  if (known != this->entries.end() && known->second.entry.revision > revision) {
+    return false;
+  }
+  auto& last = this->removed[id];
+  last = std::max(last, revision);
+  if (known == this->entries.end()) {
+    return false;
+  }
+  this->digest -= HashOf(known->second.entry);
+  this->entries.erase(known);
+  return true;
+}
+
+bool Directory::TakeChanges(const EndpointChanges& changes) {
+  bool changed = false;
+  for (const auto& entry : changes.entries) {
+    changed |= this->TakeEntry(entry);
+  }
+  for (const auto& [id, revision] : changes.removed) {
+    changed |= this->TakeRemoval(id, revision);
+  }
+  if (changes.since <= this->complete) {
+    this->SetComplete(changes.revision);
+  }
+  return changed;
+}
+
+EndpointChanges Directory::ChangesSince(std::uint64_t revision) const {
+  const bool is_all = revision < this->removals_known_since;
+  EndpointChanges changes{.since = is_all ? 0 : revision,
+                          .revision = this->complete,
+                          .is_all = is_all};
+  for (const auto& [id, known] : this->entries) {
+    if (is_all || known.changed_at > revision) {
+      changes.entries.push_back(known.entry);
+    }
+  }
+  for (const auto& [id, removed_at] : this->removed) {
+    if (!is_all && removed_at > revision) {
+      changes.removed.emplace_back(id, removed_at);
+    }
+  }
+  return changes;
+}
+
+bool Directory::TakeList(const EndpointList& list) {
+  bool changed = false;
+  std::set<std::string> listed;
+  for (const auto& entry : list.entries) {
+    listed.insert(entry.id);
+    changed |= this->TakeEntry(entry);
+  }
+  std::vector<std::string> missing;
+  for (const auto& [id, known] : this->entries) {
+    if (known.entry.revision <= list.revision && !listed.contains(id)) {
+      missing.push_back(id);
+    }
+  }
+  for (const auto& id : missing) {
+    changed |= this->TakeRemoval(id, list.revision);
+  }
+  this->SetComplete(list.revision);
+  return changed;
+}
+
+void Directory::SetComplete(std::uint64_t revision) {
+  if (this->complete == 0) {
+    // Nothing is known of what went before the first list.
+    this->removals_known_since = revision;
+  }
+  this->complete = std::max(this->complete, revision);
+  while (this->removed.size() > kMostRemovals) {
+    const auto oldest = std::min_element(
+        this->removed.begin(), this->removed.end(),
+        [](const auto& a, const auto& b) { return a.second < b.second; });
+    this->removals_known_since =
+        std::max(this->removals_known_since, oldest->second);
+    this->removed.erase(oldest);
+  }
+}
+
+std::uint64_t Directory::RevisionOf(const std::string& id) const {
+  const auto found = this->entries.find(id);
+  return found == this->entries.end() ? 0 : found->second.entry.revision;
+}
+
+std::vector<EndpointEntry> Directory::Entries() const {
+  std::vector<EndpointEntry> all;
+  for (const auto& [id, known] : this->entries) {
+    all.push_back(known.entry);
+  }
+  return all;
+}
+
+}  // namespace agaterun::membership
--- a/libraries/membership/local_entry.cc
+++ b/libraries/membership/local_entry.cc
@@ -1,26 +1,23 @@
 #include "libraries/membership/local_entry.h"
 
+#include <utility>
+
 namespace agaterun::membership {
 
-std::optional<EndpointEntry> LocalEntry::TakeWord(const LocalEndpoint& word) {
-  if (word.entry) {
-    this->last = word.entry;
-    return word.entry;
+std::optional<EndpointEntry> LocalEntry::Take(
+    std::optional<EndpointEntry> listed,
+    bool is_own_word) {
+  const bool is_ended = listed && this->ended &&
+                        listed->id == this->ended->id &&
+                        listed->started_at <= this->ended->started_at;
+  if (is_ended) {
+    listed.reset();
   }
-  this->ended_id = word.id;
-  this->ended_start =
-      this->last && this->last->id == word.id ? this->last->started_at : 0;
-  this->last.reset();
-  return std::nullopt;
-}
-
-bool LocalEntry::MayBelieveList(const EndpointEntry& listed) const {
-  if (this->last) {
-    return false;
+  this->in_doubt = !listed && this->believed && !is_own_word;
+  if (!this->in_doubt) {
+    this->believed = std::move(listed);
   }
-  const bool is_ended_life =
-      listed.id == this->ended_id && listed.started_at <= this->ended_start;
-  return !is_ended_life;
+  return this->believed;
 }
 
 }  // namespace agaterun::membership
--- a/libraries/membership/local_entry.h
+++ b/libraries/membership/local_entry.h
@@ -1,31 +1,33 @@
 #ifndef LIBRARIES_MEMBERSHIP_LOCAL_ENTRY_H_
 #define LIBRARIES_MEMBERSHIP_LOCAL_ENTRY_H_
 
-#include <cstdint>
 #include <optional>
-#include <string>
 
-#include "libraries/membership/directory_source.h"
+#include "libraries/membership/endpoint_entry.h"
 
 namespace agaterun::membership {
 
-// Decides what is believed of the backend server on this host. The platform's
-// own word on its entry goes before every list: a list may be old, also one
-// that another node passes on.
+// Decides which entry is the backend server's on this host: what is listed at
+// its address, unless another server has answered there since. That the entry
+// is gone is taken from the platform itself alone: a backend server which is
+// cut off from the platform loses its entry and still serves.
 class LocalEntry {
  public:
-  // The platform's word on the entry. Returns what is believed now.
-  std::optional<EndpointEntry> TakeWord(const LocalEndpoint& word);
+  // `listed` is the newest entry at the address; `is_own_word` when this node
+  // has it from the platform or the server. Returns what is believed now.
+  std::optional<EndpointEntry> Take(std::optional<EndpointEntry> listed,
+                                    bool is_own_word);
 
-  // A list names this entry for the address while the platform does not answer
-  // this node. True when it may be believed: nothing else is known, and the
-  // platform has not said before that this life of the server is over.
-  bool MayBelieveList(const EndpointEntry& listed) const;
+  // Others say that the entry is gone; the platform is to be asked.
+  bool IsInDoubt() const { return this->in_doubt; }
+
+  // The backend server said that it is another one than was believed.
+  void NoteOtherInstance() { this->ended = this->believed; }
 
  private:
-  std::optional<EndpointEntry> last;  // By the platform's own word.
-  std::string ended_id;
-  std::uint64_t ended_start = 0;
+  std::optional<EndpointEntry> believed;
+  std::optional<EndpointEntry> ended;
+  bool in_doubt = false;
 };
 
 }  // namespace agaterun::membership
--- a/libraries/membership/state_spread.cc
+++ b/libraries/membership/state_spread.cc
@@ -11,18 +11,26 @@
 namespace {
 
 using decision::TicketItemText;
+using decision::TicketItemVersion;
 
 constexpr std::string_view kConfigurationItem = "configuration";
-constexpr std::string_view kListItem = "endpoints";
+constexpr std::string_view kEndpointsItem = "endpoints";
 
 // A peer that was asked has this long to answer.
 constexpr Duration kAskAgain = 200ms;
 
-// While the platform does not answer, the list is asked for this often.
-constexpr Duration kListInterval = 700ms;
-
 constexpr std::size_t kMostAsked = 4096;
 
+template <class Item>
+const Item* Find(const std::vector<Item>& items, std::string_view name) {
+  for (const auto& item : items) {
+    if (item.name == name) {
+      return &item;
+    }
+  }
+  return nullptr;
+}
+
 }  // namespace
 
 void StateSpread::SetConfiguration(std::uint64_t new_version,
@@ -31,16 +39,7 @@
   this->text = std::move(new_text);
 }
 
-void StateSpread::SetList(const EndpointList& new_list) {
-  this->list = new_list;
-}
-
-bool StateSpread::ShouldAsk(Instant now,
-                            NodeAddress peer,
-                            std::uint64_t told_version) {
-  if (told_version <= this->version) {
-    return false;
-  }
+bool StateSpread::ShouldAsk(Instant now, NodeAddress peer) {
   if (this->asked.size() > kMostAsked) {
     this->asked.clear();
   }
@@ -52,30 +51,27 @@
   return true;
 }
 
-std::optional<NodeAddress> StateSpread::PeerForList(
-    Instant now,
-    bool platform_reached,
-    const std::vector<NodeAddress>& fleet) {
-  if (platform_reached || fleet.empty() ||
-      now - this->list_asked < kListInterval) {
-    return std::nullopt;
-  }
-  this->list_asked = now;
-  return fleet[this->random.Below(fleet.size())];
+std::vector<TicketItemVersion> StateSpread::Known(std::uint64_t since) const {
+  return {{.name = std::string(kConfigurationItem), .number = this->version},
+          {.name = std::string(kEndpointsItem), .number = since}};
 }
 
-std::vector<TicketItemText> StateSpread::Items() const {
+std::vector<TicketItemText> StateSpread::Items(
+    const std::vector<TicketItemVersion>& known,
+    const Directory& endpoints) const {
   std::vector<TicketItemText> items;
-  if (this->version > 0) {
+  const auto* configuration = Find(known, kConfigurationItem);
+  if (this->version > (configuration == nullptr ? 0 : configuration->number)) {
     items.push_back({.name = std::string(kConfigurationItem),
                      .number = this->version,
                      .text = this->text});
   }
-  if (this->list.revision > 0) {
-    TicketItemText item{.name = std::string(kListItem),
-                        .number = this->list.revision};
+  if (endpoints.CompleteRevision() > 0) {
+    const auto* since = Find(known, kEndpointsItem);
+    TicketItemText item{.name = std::string(kEndpointsItem),
+                        .number = endpoints.CompleteRevision()};
     node::FrameOutputArchive archive(item.text);
-    archive(this->list.entries);
+    archive(endpoints.ChangesSince(since == nullptr ? 0 : since->number));
     items.push_back(std::move(item));
   }
   return items;
@@ -83,31 +79,24 @@
 
 const TicketItemText* StateSpread::FindConfiguration(
     const std::vector<TicketItemText>& items) {
-  for (const auto& item : items) {
-    if (item.name == kConfigurationItem) {
-      return &item;
-    }
-  }
-  return nullptr;
+  return Find(items, kConfigurationItem);
 }
 
-std::optional<EndpointList> StateSpread::ReadList(
+std::optional<EndpointChanges> StateSpread::ReadEndpoints(
     const std::vector<TicketItemText>& items) {
-  for (const auto& item : items) {
-    if (item.name != kListItem) {
-      continue;
-    }
-    EndpointList list{.revision = item.number, .is_current = false};
-    try {
-      node::FrameInputArchive archive(item.text);
-      archive(list.entries);
-    } catch (const cereal::Exception&) {
-      // Whoever asks treats it as if no list had come.
-      return std::nullopt;
-    }
-    return list;
+  const auto* item = Find(items, kEndpointsItem);
+  if (item == nullptr) {
+    return std::nullopt;
+  }
+  EndpointChanges changes;
+  try {
+    node::FrameInputArchive archive(item->text);
+    archive(changes);
+  } catch (const cereal::Exception&) {
+    // Whoever asks treats it as if nothing had come.
+    return std::nullopt;
   }
-  return std::nullopt;
+  return changes;
 }
 
 }  // namespace agaterun::membership
--- a/libraries/membership/state_spread.h
+++ b/libraries/membership/state_spread.h
@@ -7,54 +7,46 @@
 #include <unordered_map>
 #include <vector>
 
-#include "libraries/base/random.h"
+#include "libraries/base/node_address.h"
+#include "libraries/base/time.h"
 #include "libraries/decision/events.h"
-#include "libraries/membership/directory_source.h"
+#include "libraries/membership/directory.h"
 
 namespace agaterun::membership {
 
-// What nodes pass on to each other of what the platform published, so that a
-// node which the platform does not answer knows it too. The number of the
-// configuration travels on every frame; a node that sees a larger one than its
-// own asks the sender.
+// What nodes pass on to each other of what the platform published, so that few
+// of them have to read it. The number of the configuration travels on every
+// frame, what is known of endpoints in heartbeats; a node that sees more than
+// it knows asks the sender.
 class StateSpread {
  public:
-  // `random` outlives this.
-  explicit StateSpread(RandomSource& random) : random(random) {}
-
   // A configuration came into force. `text` is what the platform published.
   void SetConfiguration(std::uint64_t version, std::string text);
   std::uint64_t Version() const { return this->version; }
 
-  void SetList(const EndpointList& list);
-  std::uint64_t ListRevision() const { return this->list.revision; }
-
-  // True when `peer`, which told this number, is to be asked now.
-  bool ShouldAsk(Instant now, NodeAddress peer, std::uint64_t told_version);
+  // True when `peer`, which knows more, is to be asked now.
+  bool ShouldAsk(Instant now, NodeAddress peer);
 
-  // A peer to ask for the list because the platform does not answer, or
-  // nothing.
-  std::optional<NodeAddress> PeerForList(Instant now,
-                                         bool platform_reached,
-                                         const std::vector<NodeAddress>& fleet);
+  // What this node knows, for a peer that is asked; `since` is the revision
+  // after which endpoints are wanted.
+  std::vector<decision::TicketItemVersion> Known(std::uint64_t since) const;
 
-  // All that is known here, for a peer that asked.
-  std::vector<decision::TicketItemText> Items() const;
+  // What a peer that knows so much lacks.
+  std::vector<decision::TicketItemText> Items(
+      const std::vector<decision::TicketItemVersion>& known,
+      const Directory& endpoints) const;
 
-  // The configuration's text in `items`, when it is newer than the one here.
+  // The configuration's text in `items`, or nullptr.
   static const decision::TicketItemText* FindConfiguration(
       const std::vector<decision::TicketItemText>& items);
-  // The list in `items`. Nothing when there is none that can be read.
-  static std::optional<EndpointList> ReadList(
+  // The endpoints in `items`. Nothing when there are none that can be read.
+  static std::optional<EndpointChanges> ReadEndpoints(
       const std::vector<decision::TicketItemText>& items);
 
  private:
-  RandomSource& random;
   std::uint64_t version = 0;
   std::string text;
-  EndpointList list;
   std::unordered_map<NodeAddress, Instant> asked;
-  Instant list_asked{};
 };
 
 }  // namespace agaterun::membership
--- a/libraries/proxy/node_state.cc
+++ b/libraries/proxy/node_state.cc
@@ -22,6 +22,8 @@
   const nlohmann::json state = {
       {"configuration", this->configuration},
       {"endpoint_list", this->endpoint_list},
+      {"reading_mode",
+       NameOf(membership::kReadingModeNames, this->reading_mode)},
       {"platform_reached", this->platform_reached},
       {"stopping", this->stopping},
       {"calls_in_flight", this->calls_in_flight},
--- a/libraries/proxy/node_state.h
+++ b/libraries/proxy/node_state.h
@@ -8,6 +8,7 @@
 
 #include "libraries/base/node_address.h"
 #include "libraries/decision/messages.h"
+#include "libraries/membership/directory_source.h"
 #include "libraries/membership/fleet.h"
 
 namespace agaterun::proxy {
@@ -16,6 +17,7 @@
 struct NodeState {
   std::uint64_t configuration = 0;  // Version in force.
   std::uint64_t endpoint_list = 0;  // Revision known.
+  membership::ReadingMode reading_mode = membership::ReadingMode::kAlone;
   bool platform_reached = false;
   bool stopping = false;
   std::size_t calls_in_flight = 0;
--- a/libraries/proxy/proxy_node.cc
+++ b/libraries/proxy/proxy_node.cc
@@ -20,6 +20,7 @@
 
 constexpr Duration kTickInterval = 50ms;
 constexpr Duration kHeartbeatInterval = 300ms;
+constexpr Duration kFleetCheckInterval = 1s;
 
 // Time for which a connection to another node waits for it.
 constexpr Duration kLinkTimeout = 1s;
@@ -52,8 +53,8 @@
              this->fleet,
              this->random,
              *this),
-      spread(this->random),
       heartbeat_plan(this->settings.node, this->random),
+      directory(this->settings.node),
       wake_timer(io),
       tick_timer(io) {
   this->SetSettings(this->settings);
@@ -134,12 +135,12 @@
   this->origin.SetRepeats({.ratio = new_settings.repeat_ratio,
                            .extra = new_settings.repeat_extra,
                            .window = new_settings.repeat_window});
-  this->FollowLocalEntry();
+  this->FollowLocalEntry(/*is_own_word=*/false);
 }
 
 bool ProxyNode::IsReady() const {
   return !this->planned_stop.HasStarted() && this->spread.Version() > 0 &&
-         this->spread.ListRevision() > 0;
+         this->directory.Endpoints().CompleteRevision() > 0;
 }
 
 std::string ProxyNode::RequestIdOf(const HttpRequest& request) const {
@@ -239,6 +240,7 @@
     this->crashes.NoteToldCrash(this->Now(), crash);
   }
   this->OnDigestSeen(heartbeat.from, heartbeat.state_digest);
+  this->AskIfLater(heartbeat);
   if (heartbeat.wants_answer) {
     this->SendHeartbeat(
         {.node = heartbeat.from, .kind = membership::HeartbeatKind::kFar});
@@ -258,15 +260,36 @@
 
 void ProxyNode::OnDigestSeen(NodeAddress peer, std::uint64_t digest) {
   this->fleet.Heard(this->Now(), peer);
-  if (this->spread.ShouldAsk(this->Now(), peer, digest)) {
-    this->links->RequestTicketItems(peer, {});
+  if (digest > this->spread.Version()) {
+    this->AskForState(peer);
+  }
+}
+
+void ProxyNode::AskIfLater(const decision::Heartbeat& heartbeat) {
+  const auto now = this->Now();
+  const auto* sender = this->fleet.Find(heartbeat.from);
+  if (sender != nullptr && !this->fleet.IsNear(*sender)) {
+    return;
+  }
+  this->directory.TakeHeartbeat(
+      now, heartbeat, heartbeat.state_digest == this->spread.Version());
+  if (this->directory.ShouldAsk(now, heartbeat)) {
+    this->AskForState(heartbeat.from);
+  }
+}
+
+void ProxyNode::AskForState(NodeAddress peer) {
+  if (this->spread.ShouldAsk(this->Now(), peer)) {
+    this->links->RequestTicketItems(
+        peer, this->spread.Known(this->directory.AskSince(this->Now())));
   }
 }
 
 void ProxyNode::OnTicketItemsWanted(
     NodeAddress from,
-    std::vector<decision::TicketItemVersion> /*have*/) {
-  this->links->SendTicketItems(from, this->spread.Items());
+    std::vector<decision::TicketItemVersion> have) {
+  this->links->SendTicketItems(
+      from, this->spread.Items(have, this->directory.Endpoints()));
 }
 
 void ProxyNode::OnTicketItems(NodeAddress /*from*/,
@@ -282,12 +305,9 @@
       this->OnConfigurationUnreadable(configuration.error().message);
     }
   }
-  if (this->platform_reached) {
-    return;
-  }
-  if (auto list = membership::StateSpread::ReadList(items);
-      list && list->revision > this->spread.ListRevision()) {
-    this->OnEndpointList(*std::move(list));
+  if (const auto changes = membership::StateSpread::ReadEndpoints(items);
+      changes && this->directory.TakeTold(*changes)) {
+    this->TakeEndpoints();
   }
 }
 
@@ -313,43 +333,64 @@
 }
 
 void ProxyNode::OnEndpointList(membership::EndpointList list) {
-  // A list that may be old must not take back what is known.
-  if (list.revision < this->spread.ListRevision()) {
-    return;
+  if (this->directory.TakeList(this->Now(), list)) {
+    this->TakeEndpoints();
   }
-  this->fleet.SetList(this->Now(), list.entries);
-  this->origin.SetFleetSize(static_cast<int>(list.entries.size()));
-  this->spread.SetList(list);
-  this->FollowLocalEntry();
 }
 
-void ProxyNode::FollowLocalEntry() {
-  if (!this->settings.backend_server || !this->source) {
-    return;
+void ProxyNode::OnEndpointChanges(membership::EndpointChanges changes) {
+  if (this->directory.TakeChanges(this->Now(), changes)) {
+    this->TakeEndpoints();
   }
-  const auto listed = this->fleet.EntryAt(*this->settings.backend_server);
-  if (!listed || listed->service != this->settings.service) {
-    return;
+}
+
+void ProxyNode::OnLocalEndpoint(membership::LocalEndpoint endpoint) {
+  if (this->directory.TakeLocal(endpoint)) {
+    this->TakeEndpoints();
   }
-  const auto& known = this->gate.Entry();
-  if (known && known->started_at > listed->started_at) {
-    return;
+  this->FollowLocalEntry(/*is_own_word=*/true);
+}
+
+void ProxyNode::TakeEndpoints() {
+  const auto entries = this->directory.Endpoints().Entries();
+  this->fleet.SetList(this->Now(), entries);
+  this->origin.SetFleetSize(static_cast<int>(entries.size()));
+  const bool reads = this->directory.Reading(this->Now()) ==
+                     decision::PlatformReading::kFollows;
+  this->FollowLocalEntry(/*is_own_word=*/reads);
+  if (reads) {
+    // Others learn it from this node alone.
+    this->SendHeartbeats();
   }
-  if (!this->platform_reached && !known &&
-      this->local_entry.MayBelieveList(*listed)) {
-    // Nobody can tell more than the list that a peer passed on.
-    this->SetLocalEntry(listed);
+}
+
+void ProxyNode::FollowReadingMode() {
+  const auto mode = this->directory.Update(this->Now(), this->fleet);
+  if (mode == this->reading_mode) {
+    return;
   }
-  this->source->WatchLocalEndpoint(listed->id);
+  this->reading_mode = mode;
+  const auto age = this->directory.Age(this->Now());
+  Log(LogEvent::kReadingModeChanged,
+      {{"mode", std::string(NameOf(membership::kReadingModeNames, mode))},
+       {"age_ms", age ? std::to_string(*age / 1ms) : "unknown"},
+       {"revision",
+        std::to_string(this->directory.Endpoints().CompleteRevision())}});
+  this->source->SetMode(mode);
 }
 
-void ProxyNode::OnLocalEndpoint(membership::LocalEndpoint endpoint) {
-  if (endpoint.entry &&
-      (endpoint.entry->service != this->settings.service ||
-       endpoint.entry->address != *this->settings.backend_server)) {
-    endpoint.entry.reset();
+void ProxyNode::FollowLocalEntry(bool is_own_word) {
+  if (!this->source) {
+    return;
+  }
+  auto listed = this->fleet.EntryAt(*this->settings.backend_server);
+  if (listed && listed->service != this->settings.service) {
+    listed.reset();
   }
-  this->SetLocalEntry(this->local_entry.TakeWord(endpoint));
+  auto entry = this->local_entry.Take(std::move(listed), is_own_word);
+  this->directory.SetOwnEntryInDoubt(this->local_entry.IsInDoubt());
+  this->source->WatchLocalEndpoint(entry ? entry->id : "");
+  this->SetLocalEntry(std::move(entry));
 }
 
 void ProxyNode::SetLocalEntry(std::optional<membership::EndpointEntry> entry) {
@@ -385,6 +426,10 @@
 }
 
 void ProxyNode::OnPlatformReached(bool reached, std::string why) {
+  this->directory.SetReached(this->Now(), reached);
+  if (this->platform_reached == reached) {
+    return;
+  }
   this->platform_reached = reached;
   Log(reached ? LogEvent::kPlatformReached : LogEvent::kPlatformUnreachable,
       {{"why", why}});
@@ -437,7 +482,8 @@
 void ProxyNode::OnOtherInstance() {
   Log(LogEvent::kOtherInstance);
   this->pool->CloseIdle();
-  this->source->WatchLocalEndpoint("");
+  this->local_entry.NoteOtherInstance();
+  this->FollowLocalEntry(/*is_own_word=*/true);
 }
 
 void ProxyNode::ReportVisit(LogEvent event,
@@ -487,11 +533,12 @@
   if (now >= this->next_heartbeat) {
     this->SendHeartbeats();
   }
-  if (const auto peer = this->spread.PeerForList(now, this->platform_reached,
-                                                 this->FleetAddresses());
-      peer) {
-    this->links->RequestTicketItems(*peer, {});
+  if (now >= this->next_fleet_check) {
+    // Nodes that are no longer listed are forgotten once they fall silent.
+    this->next_fleet_check = now + kFleetCheckInterval;
+    this->fleet.SetList(now, this->directory.Endpoints().Entries());
   }
+  this->FollowReadingMode();
   this->FollowPlannedStop();
   this->tick_timer.expires_after(kTickInterval);
   this->tick_timer.async_wait([this](const std::error_code& error) {
@@ -501,16 +548,6 @@
   });
 }
 
-std::vector<NodeAddress> ProxyNode::FleetAddresses() const {
-  std::vector<NodeAddress> addresses;
-  for (const auto& [address, node] : this->fleet.All()) {
-    if (address != this->settings.node) {
-      addresses.push_back(address);
-    }
-  }
-  return addresses;
-}
-
 void ProxyNode::TakeOwnLoad() {
   const auto now = this->Now();
   this->fleet.TakeLoad(now, this->settings.node, this->gate.Load(now));
@@ -541,6 +578,7 @@
                                 .load = this->gate.Load(now),
                                 .crashes = this->crashes.ToTell(now),
                                 .wants_answer = target.wants_answer};
+  this->directory.Tell(now, heartbeat);
   auto& admission = this->origin.Admission();
   const auto& domain = this->fleet.OwnDomain();
   switch (target.kind) {
@@ -608,8 +646,9 @@
 
 NodeState ProxyNode::State() const {
   return {.configuration = this->spread.Version(),
-          .endpoint_list = this->spread.ListRevision(),
-          .platform_reached = this->platform_reached,
+          .endpoint_list = this->directory.Endpoints().CompleteRevision(),
+          .reading_mode = this->reading_mode,
+          .platform_reached = this->platform_reached.value_or(false),
           .stopping = this->planned_stop.HasStarted(),
           .calls_in_flight = this->origin.CallsInFlight(),
           .service = this->gate.Service(),
--- a/libraries/proxy/proxy_node.h
+++ b/libraries/proxy/proxy_node.h
@@ -16,6 +16,7 @@
 #include "libraries/calls/call_origin.h"
 #include "libraries/calls/dialect.h"
 #include "libraries/calls/visit_gate.h"
+#include "libraries/membership/directory_keeper.h"
 #include "libraries/membership/directory_source.h"
 #include "libraries/membership/fleet.h"
 #include "libraries/membership/heartbeat_plan.h"
@@ -92,6 +93,7 @@
       std::shared_ptr<const routing::Configuration> configuration,
       std::string text) override;
   void OnEndpointList(membership::EndpointList list) override;
+  void OnEndpointChanges(membership::EndpointChanges changes) override;
   void OnLocalEndpoint(membership::LocalEndpoint endpoint) override;
   void OnConfigurationUnreadable(std::string why) override;
   void OnPlatformReached(bool reached, std::string why) override;
@@ -143,8 +145,14 @@
   bool IsReady() const;
   NodeState State() const;
   std::string RequestIdOf(const HttpRequest& request) const;
-  // Follows the entry at the backend server's address in the list.
-  void FollowLocalEntry();
+  // What is known of the endpoints has changed.
+  void TakeEndpoints();
+  // Asks a node of this failure domain that knows more.
+  void AskIfLater(const decision::Heartbeat& heartbeat);
+  void AskForState(NodeAddress peer);
+  void FollowReadingMode();
+  // Follows the entry at the backend server's address.
+  void FollowLocalEntry(bool is_own_word);
   void SetLocalEntry(std::optional<membership::EndpointEntry> entry);
   // Waits for the earliest instant at which a decision is due.
   void ArmWakeTimer();
@@ -159,7 +167,6 @@
   void SendHeartbeat(const membership::HeartbeatTarget& target);
   std::vector<decision::DemandSum> SumsForNear(Instant now);
   void TakeDemand(const decision::Heartbeat& heartbeat);
-  std::vector<NodeAddress> FleetAddresses() const;
 
   asio::io_context& io;
   NodeSettings settings;
@@ -175,14 +182,17 @@
   CallLog call_log;
   membership::StateSpread spread;
   membership::HeartbeatPlan heartbeat_plan;
+  membership::DirectoryKeeper directory;
   membership::LocalEntry local_entry;
+  membership::ReadingMode reading_mode = membership::ReadingMode::kAlone;
   decision::CallId call_ids = 1;
   std::unordered_map<decision::AttemptId, NodeAddress> visit_origins;
   asio::steady_timer wake_timer;
   asio::steady_timer tick_timer;
   Instant armed_for = Instant::max();
   Instant next_heartbeat{};
-  bool platform_reached = false;
+  Instant next_fleet_check{};
+  std::optional<bool> platform_reached;  // By the last reading.
   PlannedStop planned_stop;
 
   std::unique_ptr<node::NodeLinks> links;
--- /dev/null
+++ b/tests/membership/directory_keeper_test.cc
@@ -0,0 +1,323 @@
+#include "libraries/membership/directory_keeper.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <vector>
+
+#include "libraries/membership/heartbeat_plan.h"
+
+// Nodes of one failure domain that share what few of them read, in virtual
+// time.
+namespace agaterun::membership {
+
+BOOST_AUTO_TEST_SUITE(DirectoryKeeperTest)
+
+constexpr std::uint16_t kPort = 7300;
+constexpr Duration kStep = 50ms;
+constexpr Duration kHeartbeat = 300ms;
+constexpr Duration kWatch = 1500ms;
+constexpr Duration kListInterval = 1s;
+constexpr Duration kRetry = 400ms;
+
+// What a node may know at the most without asking the platform itself.
+constexpr Duration kOldest = 1600ms;
+
+EndpointEntry Entry(std::uint32_t index, std::uint64_t revision) {
+  return {.id = "i-" + std::to_string(index),
+          .service = "drafts",
+          .address = {.ip = index, .port = 8000},
+          .failure_domain = "a",
+          .slots = 10,
+          .started_at = 5,
+          .revision = revision};
+}
+
+struct Node {
+  Node(NodeAddress address, RandomSource& random)
+      : address(address),
+        keeper(address),
+        plan(address, random),
+        fleet({.self = address, .node_port = kPort, .failure_domain = "a"}) {}
+
+  NodeAddress address;
+  DirectoryKeeper keeper;
+  HeartbeatPlan plan;
+  Fleet fleet;
+  ReadingMode mode = ReadingMode::kAlone;
+  bool is_alive = true;
+  bool is_served = true;  // By the platform.
+  Instant next_heartbeat{};
+  Instant next_call{};
+};
+
+struct Domain {
+  explicit Domain(std::uint32_t size) {
+    for (std::uint32_t index = 1; index <= size; ++index) {
+      this->platform.entries.push_back(Entry(index, index));
+      this->nodes.push_back(std::make_unique<Node>(
+          NodeAddress{.ip = index, .port = kPort}, this->random));
+      this->nodes.back()->next_heartbeat =
+          this->now + kHeartbeat * index / size;
+    }
+    this->platform.revision = size;
+  }
+
+  void Run(Duration duration) {
+    const auto end = this->now + duration;
+    while (this->now < end) {
+      this->now += kStep;
+      for (const auto& node : this->nodes) {
+        if (node->is_alive) {
+          this->Step(*node);
+        }
+      }
+    }
+  }
+
+  void Step(Node& node) {
+    const auto mode = node.keeper.Update(this->now, node.fleet);
+    if (mode != node.mode) {
+      node.mode = mode;
+      node.next_call = this->now;
+    }
+    if (mode != ReadingMode::kResting && this->now >= node.next_call) {
+      this->Call(node);
+    }
+    if (this->now >= node.next_heartbeat) {
+      node.next_heartbeat += kHeartbeat;
+      this->SendHeartbeats(node);
+    }
+  }
+
+  void Call(Node& node) {
+    ++this->calls;
+    if (!node.is_served) {
+      node.keeper.SetReached(this->now, false);
+      node.next_call = this->now + kRetry;
+      return;
+    }
+    node.keeper.SetReached(this->now, true);
+    auto list = this->platform;
+    const bool watches = node.mode == ReadingMode::kWatching;
+    list.is_current = watches;
+    list.followed_for = watches ? kWatch + kRetry : Duration{};
+    node.next_call = this->now + (watches ? kWatch : kListInterval);
+    node.keeper.TakeList(this->now, list);
+    node.fleet.SetList(this->now, node.keeper.Endpoints().Entries());
+  }
+
+  void SendHeartbeats(Node& from) {
+    for (const auto& target : from.plan.Next(this->now, from.fleet, {})) {
+      auto& to = *this->nodes.at(target.node.ip - 1);
+      if (to.is_alive) {
+        this->Deliver(from, to);
+      }
+    }
+  }
+
+  void Deliver(const Node& from, Node& to) {
+    decision::Heartbeat heartbeat{.from = from.address};
+    from.keeper.Tell(this->now, heartbeat);
+    to.fleet.Heard(this->now, from.address);
+    to.keeper.TakeHeartbeat(this->now, heartbeat, /*same_configuration=*/true);
+    if (to.keeper.ShouldAsk(this->now, heartbeat)) {
+      to.keeper.TakeTold(
+          from.keeper.Endpoints().ChangesSince(to.keeper.AskSince(this->now)));
+      to.fleet.SetList(this->now, to.keeper.Endpoints().Entries());
+    }
+  }
+
+  // The platform tells whoever follows it at once.
+  void Change(const EndpointEntry& entry) {
+    EndpointChanges changes{.since = this->platform.revision,
+                            .revision = entry.revision,
+                            .entries = {entry},
+                            .followed_for = kWatch};
+    this->platform.revision = entry.revision;
+    this->platform.entries.at(entry.address.ip - 1) = entry;
+    for (const auto& node : this->nodes) {
+      if (node->is_alive && node->is_served &&
+          node->mode == ReadingMode::kWatching) {
+        node->keeper.TakeChanges(this->now, changes);
+      }
+    }
+  }
+
+  int Count(ReadingMode mode) const {
+    return static_cast<int>(std::count_if(
+        this->nodes.begin(), this->nodes.end(), [&](const auto& node) {
+          return node->is_alive && node->mode == mode;
+        }));
+  }
+
+  Node& Reader() {
+    return **std::find_if(
+        this->nodes.begin(), this->nodes.end(), [](const auto& node) {
+          return node->is_alive && node->mode == ReadingMode::kWatching;
+        });
+  }
+
+  // No node rests on knowledge that is older than it may be.
+  void CheckAges() {
+    for (const auto& node : this->nodes) {
+      if (node->is_alive && node->mode == ReadingMode::kResting) {
+        const auto age = node->keeper.Age(this->now);
+        BOOST_TEST_REQUIRE(age.has_value());
+        BOOST_TEST((*age <= kOldest));
+      }
+    }
+  }
+
+  Instant now = 100s;
+  SeededRandom random{7};
+  EndpointList platform;
+  std::vector<std::unique_ptr<Node>> nodes;
+  int calls = 0;
+};
+
+// Calls in calm do not grow with the number of nodes.
+BOOST_AUTO_TEST_CASE(OneNodeOfADomainReadsWhateverItsSize) {
+  for (const std::uint32_t size : {3U, 13U, 39U, 142U}) {
+    Domain domain(size);
+    domain.Run(8s);
+    BOOST_TEST(domain.Count(ReadingMode::kWatching) == 1, "of " << size);
+    BOOST_TEST(domain.Count(ReadingMode::kAlone) == 0, "of " << size);
+    domain.calls = 0;
+    domain.Run(30s);
+    BOOST_TEST(domain.calls <= 21, size << " nodes made " << domain.calls);
+    domain.CheckAges();
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AChangeIsKnownEverywhereWithinASecond) {
+  Domain domain(39);
+  domain.Run(8s);
+  auto entry = Entry(5, 1000);
+  entry.leaving = true;
+  domain.Change(entry);
+  domain.Run(1s);
+  for (const auto& node : domain.nodes) {
+    BOOST_TEST(node->keeper.Endpoints().RevisionOf("i-5") == 1000U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AKilledReaderIsReplaced) {
+  for (const std::uint32_t size : {3U, 39U}) {
+    Domain domain(size);
+    domain.Run(8s);
+    domain.Reader().is_alive = false;
+    for (int step = 0; step < 60; ++step) {
+      domain.Run(kStep);
+      domain.CheckAges();
+    }
+    BOOST_TEST(domain.Count(ReadingMode::kWatching) == 1, "of " << size);
+    BOOST_TEST(domain.Count(ReadingMode::kAlone) == 0, "of " << size);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AllReadersKilledOneAfterTheOtherAreReplaced) {
+  Domain domain(13);
+  domain.Run(8s);
+  for (int kill = 0; kill < 8; ++kill) {
+    domain.Reader().is_alive = false;
+    domain.Run(2500ms);
+    BOOST_TEST_REQUIRE(domain.Count(ReadingMode::kWatching) >= 1);
+    domain.CheckAges();
+  }
+}
+
+// The platform serves some nodes and turns others away, the reader among them.
+BOOST_AUTO_TEST_CASE(ANodeThatThePlatformServesTakesOver) {
+  Domain domain(13);
+  domain.Run(8s);
+  for (const auto& node : domain.nodes) {
+    node->is_served = node->address.ip % 4 == 0;
+  }
+  domain.Reader().is_served = false;
+  domain.Run(6s);
+  BOOST_TEST(domain.Count(ReadingMode::kAlone) == 0);
+  BOOST_TEST(domain.Reader().is_served);
+  domain.CheckAges();
+}
+
+// While the platform is away, few nodes ask often, and all are up to date soon
+// after its return.
+BOOST_AUTO_TEST_CASE(AnOutageOfThePlatformIsNotAStorm) {
+  Domain domain(39);
+  domain.Run(8s);
+  for (const auto& node : domain.nodes) {
+    node->is_served = false;
+  }
+  domain.Run(5s);
+  BOOST_TEST(domain.Count(ReadingMode::kWatching) >= 1);
+  BOOST_TEST(domain.Count(ReadingMode::kWatching) <= 3);
+  for (const auto& node : domain.nodes) {
+    node->is_served = true;
+  }
+  auto entry = Entry(5, 1000);
+  entry.leaving = true;
+  domain.Change(entry);
+  domain.Run(2s);
+  for (const auto& node : domain.nodes) {
+    BOOST_TEST(node->keeper.Endpoints().RevisionOf("i-5") == 1000U);
+  }
+  BOOST_TEST(domain.Count(ReadingMode::kAlone) == 0);
+  domain.Run(2s);
+  BOOST_TEST(domain.Count(ReadingMode::kWatching) == 1);
+}
+
+// A node that was frozen believes that its knowledge is young. It must not
+// take back what the others have learned meanwhile.
+BOOST_AUTO_TEST_CASE(AFrozenReaderTakesNothingBack) {
+  Domain domain(13);
+  domain.Run(8s);
+  auto& frozen = domain.Reader();
+  frozen.is_alive = false;
+  domain.Run(3s);
+  auto entry = Entry(5, 1000);
+  entry.leaving = true;
+  domain.Change(entry);
+  domain.Run(2s);
+  frozen.is_alive = true;
+  frozen.keeper.TakeChanges(
+      domain.now, {.since = 13, .revision = 13, .followed_for = kWatch});
+  frozen.next_call = domain.now + kWatch;
+  domain.Run(1s);
+  for (const auto& node : domain.nodes) {
+    BOOST_TEST(node->keeper.Endpoints().RevisionOf("i-5") == 1000U);
+  }
+  domain.Run(3s);
+  BOOST_TEST(domain.Count(ReadingMode::kWatching) == 1);
+}
+
+// The platform forgot its history and tells the reader nothing more. The reader
+// hears its own knowledge back from others, which is no reason to stop.
+BOOST_AUTO_TEST_CASE(AReaderThatHearsNothingDoesNotTrustItsOwnEcho) {
+  Domain domain(13);
+  domain.Run(8s);
+  auto& reader = domain.Reader();
+  reader.is_served = false;
+  reader.keeper.SetReached(domain.now, false);
+  domain.Run(700ms);
+  BOOST_TEST((reader.mode == ReadingMode::kWatching));
+}
+
+// What others say of the own server's entry is checked with the platform.
+BOOST_AUTO_TEST_CASE(ANodeInDoubtOfItsOwnEntryAsksThePlatform) {
+  Domain domain(13);
+  domain.Run(8s);
+  const auto resting = std::find_if(
+      domain.nodes.begin(), domain.nodes.end(),
+      [](const auto& node) { return node->mode == ReadingMode::kResting; });
+  (*resting)->keeper.SetOwnEntryInDoubt(true);
+  domain.Run(2 * kStep);
+  BOOST_TEST(((*resting)->mode == ReadingMode::kAlone));
+  (*resting)->keeper.SetOwnEntryInDoubt(false);
+  domain.Run(2 * kStep);
+  BOOST_TEST(((*resting)->mode == ReadingMode::kResting));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace agaterun::membership
--- /dev/null
+++ b/tests/membership/directory_test.cc
@@ -0,0 +1,123 @@
+#include "libraries/membership/directory.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace agaterun::membership {
+
+BOOST_AUTO_TEST_SUITE(DirectoryTest)
+
+EndpointEntry Entry(const char* id, std::uint64_t revision) {
+  return {.id = id,
+          .service = "drafts",
+          .address = {.ip = 7, .port = 8000},
+          .failure_domain = "a",
+          .slots = 10,
+          .started_at = 5,
+          .revision = revision};
+}
+
+EndpointEntry Leaving(const char* id, std::uint64_t revision) {
+  auto entry = Entry(id, revision);
+  entry.leaving = true;
+  return entry;
+}
+
+BOOST_AUTO_TEST_CASE(ALaterFactGoesBeforeAnEarlierOne) {
+  Directory directory;
+  BOOST_TEST(directory.TakeEntry(Leaving("a", 8)));
+  BOOST_TEST(!directory.TakeEntry(Entry("a", 5)));
+  BOOST_TEST(directory.Entries().at(0).leaving);
+  BOOST_TEST(!directory.TakeEntry(Leaving("a", 9)));
+  BOOST_TEST(directory.RevisionOf("a") == 9U);
+}
+
+// An entry was removed, then the connection to the platform was reset, and a
+// peer passed on a list from before the removal.
+BOOST_AUTO_TEST_CASE(AnOldListDoesNotBringBackWhatWasRemoved) {
+  Directory directory;
+  directory.TakeList({.entries = {Entry("a", 5)}, .revision = 6});
+  BOOST_TEST(directory.TakeRemoval("a", 9));
+  BOOST_TEST(!directory.TakeList({.entries = {Entry("a", 5)}, .revision = 6}));
+  BOOST_TEST(
+      !directory.TakeChanges({.revision = 8, .entries = {Entry("a", 7)}}));
+  BOOST_TEST(directory.Entries().empty());
+  directory.SetComplete(12);
+  BOOST_TEST(!directory.TakeEntry(Entry("a", 11)));
+  BOOST_TEST(directory.TakeEntry(Entry("a", 13)));
+}
+
+BOOST_AUTO_TEST_CASE(WhatAListNoLongerNamesIsGoneUnlessItCameLater) {
+  Directory directory;
+  directory.TakeList({.entries = {Entry("a", 5)}, .revision = 6});
+  directory.TakeEntry(Entry("b", 9));
+  BOOST_TEST(directory.TakeList({.entries = {}, .revision = 8}));
+  BOOST_TEST(directory.Entries().size() == 1U);
+  BOOST_TEST(directory.Entries().at(0).id == "b");
+}
+
+BOOST_AUTO_TEST_CASE(DirectoriesWithTheSameEndpointsHaveOneDigest) {
+  Directory left;
+  Directory right;
+  left.TakeList({.entries = {Entry("a", 5), Entry("b", 6)}, .revision = 6});
+  right.TakeEntry(Entry("b", 7));
+  BOOST_TEST(left.Digest() != right.Digest());
+  auto warmer = Entry("a", 8);
+  warmer.cold_for = 2s;
+  right.TakeEntry(warmer);
+  BOOST_TEST(left.Digest() == right.Digest());
+  right.TakeEntry(Leaving("a", 9));
+  BOOST_TEST(left.Digest() != right.Digest());
+  right.TakeRemoval("a", 10);
+  left.TakeRemoval("a", 10);
+  BOOST_TEST(left.Digest() == right.Digest());
+}
+
+BOOST_AUTO_TEST_CASE(ChangesBringAnotherDirectoryUpToDate) {
+  Directory ahead;
+  ahead.TakeList({.entries = {Entry("a", 5), Entry("b", 5), Entry("c", 5)},
+                  .revision = 6});
+  Directory behind = ahead;
+  ahead.TakeChanges({.since = 6,
+                     .revision = 20,
+                     .entries = {Leaving("a", 11), Entry("d", 15)},
+                     .removed = {{"b", 12}}});
+  const auto changes = ahead.ChangesSince(behind.CompleteRevision());
+  BOOST_TEST(changes.entries.size() == 2U);
+  BOOST_TEST(changes.removed.size() == 1U);
+  BOOST_TEST(behind.TakeChanges(changes));
+  BOOST_TEST(behind.Digest() == ahead.Digest());
+  BOOST_TEST(behind.CompleteRevision() == 20U);
+}
+
+// Changes from a later revision on say nothing of those before.
+BOOST_AUTO_TEST_CASE(ChangesWithAGapDoNotMakeItComplete) {
+  Directory directory;
+  directory.TakeList({.entries = {Entry("a", 5)}, .revision = 6});
+  directory.TakeChanges({.since = 9, .revision = 12, .entries = {}});
+  BOOST_TEST(directory.CompleteRevision() == 6U);
+}
+
+BOOST_AUTO_TEST_CASE(WhoKnowsNothingIsToldEverything) {
+  Directory directory;
+  directory.TakeList({.entries = {Entry("a", 5)}, .revision = 6});
+  BOOST_TEST(directory.ChangesSince(0).is_all);
+  BOOST_TEST(directory.ChangesSince(0).entries.size() == 1U);
+  BOOST_TEST(!directory.ChangesSince(6).is_all);
+}
+
+BOOST_AUTO_TEST_CASE(RemovalsTooLongAgoAreToldAsAWholeList) {
+  Directory directory;
+  directory.TakeList({.entries = {Entry("a", 5)}, .revision = 6});
+  for (std::uint64_t revision = 10; revision < 400; ++revision) {
+    const auto id = "r" + std::to_string(revision);
+    directory.TakeEntry(Entry(id.c_str(), revision));
+    directory.TakeRemoval(id, revision);
+  }
+  directory.SetComplete(400);
+  BOOST_TEST(directory.ChangesSince(6).is_all);
+  BOOST_TEST(!directory.ChangesSince(390).is_all);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace agaterun::membership
--- a/tests/membership/local_entry_test.cc
+++ b/tests/membership/local_entry_test.cc
@@ -10,33 +10,49 @@
   return {.id = id, .service = "drafts", .started_at = started_at};
 }
 
-BOOST_AUTO_TEST_CASE(ANodeThatKnowsNothingBelievesAList) {
-  const LocalEntry local;
-  BOOST_TEST(local.MayBelieveList(Entry("a", 5)));
+BOOST_AUTO_TEST_CASE(WhatIsListedIsBelieved) {
+  LocalEntry local;
+  BOOST_TEST(local.Take(Entry("a", 5), true)->id == "a");
+  BOOST_TEST(!local.Take(std::nullopt, true).has_value());
+  BOOST_TEST(local.Take(Entry("a", 5), true)->id == "a");
 }
 
-// An entry was removed, then the connection to the store was reset, and a peer
-// passed on a list from before the removal.
-BOOST_AUTO_TEST_CASE(AnOldListDoesNotBringBackWhatThePlatformRemoved) {
+// The server at the address said that it is another one, while the platform
+// still lists the one that has ended.
+BOOST_AUTO_TEST_CASE(AServerThatWasReplacedIsNotBelievedAgain) {
   LocalEntry local;
-  local.TakeWord({.id = "a", .entry = Entry("a", 5)});
-  BOOST_TEST(!local.TakeWord({.id = "a"}).has_value());
-  BOOST_TEST(!local.MayBelieveList(Entry("a", 5)));
+  local.Take(Entry("a", 5), true);
+  local.NoteOtherInstance();
+  BOOST_TEST(!local.Take(Entry("a", 5), true).has_value());
+  BOOST_TEST(!local.Take(Entry("a", 5), true).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(AnotherLifeOrAnotherServerIsNotTheOneThatEnded) {
   LocalEntry local;
-  local.TakeWord({.id = "a", .entry = Entry("a", 5)});
-  local.TakeWord({.id = "a"});
-  BOOST_TEST(local.MayBelieveList(Entry("a", 9)));
-  BOOST_TEST(local.MayBelieveList(Entry("b", 5)));
+  local.Take(Entry("a", 5), true);
+  local.NoteOtherInstance();
+  BOOST_TEST(local.Take(Entry("a", 9), true)->started_at == 9U);
+  local.NoteOtherInstance();
+  BOOST_TEST(local.Take(Entry("b", 5), true)->id == "b");
+}
+
+// The backend server lost its entry because it is cut off from the platform,
+// as its node may be, while both still serve.
+BOOST_AUTO_TEST_CASE(OthersDoNotTakeAwayTheEntry) {
+  LocalEntry local;
+  local.Take(Entry("a", 5), false);
+  BOOST_TEST(local.Take(std::nullopt, false)->id == "a");
+  BOOST_TEST(local.IsInDoubt());
+  BOOST_TEST(!local.Take(std::nullopt, true).has_value());
+  BOOST_TEST(!local.IsInDoubt());
 }
 
-BOOST_AUTO_TEST_CASE(ThePlatformsOwnWordGoesBeforeAList) {
+BOOST_AUTO_TEST_CASE(AnEntryThatIsBackIsNotInDoubt) {
   LocalEntry local;
-  local.TakeWord({.id = "a", .entry = Entry("a", 5)});
-  BOOST_TEST(!local.MayBelieveList(Entry("b", 9)));
-  BOOST_TEST(local.TakeWord({.id = "a", .entry = Entry("a", 5)})->id == "a");
+  local.Take(Entry("a", 5), false);
+  local.Take(std::nullopt, false);
+  BOOST_TEST(local.Take(Entry("a", 5), false)->id == "a");
+  BOOST_TEST(!local.IsInDoubt());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform_adapter/store_reader_test.cc
+++ b/tests/platform_adapter/store_reader_test.cc
@@ -22,6 +22,10 @@
     this->list = std::move(list);
     ++this->lists;
   }
+  void OnEndpointChanges(membership::EndpointChanges new_changes) override {
+    this->changes = std::move(new_changes);
+    ++this->change_sets;
+  }
   void OnLocalEndpoint(membership::LocalEndpoint endpoint) override {
     this->local = std::move(endpoint);
     ++this->locals;
@@ -37,6 +41,8 @@
   std::string text;
   membership::EndpointList list;
   int lists = 0;
+  membership::EndpointChanges changes;
+  int change_sets = 0;
   membership::LocalEndpoint local;
   int locals = 0;
   std::optional<bool> reached;
@@ -71,8 +77,12 @@
                       .configuration_wait = this->watch_wait,
                       .configuration_spread = 0ms,
                       .list_interval = 20ms,
+                      .watch_pause = 1ms,
+                      .watch_wait = this->watch_wait,
+                      .watching_configuration_wait = this->watch_wait,
                       .answer_timeout = 200ms,
-                      .retry_interval = 20ms},
+                      .retry_interval = 20ms,
+                      .longest_retry = 40ms},
                      this->random,
                      this->observer};
 };
@@ -222,6 +232,72 @@
   BOOST_TEST(this->Until([&] { return this->observer.version == 4; }));
 }
 
+BOOST_FIXTURE_TEST_CASE(ANodeThatRestsAsksNothing, Fixture) {
+  this->store.Put("op/config", Configuration(3));
+  this->store.Put("servers/me", Endpoint("ready"));
+  this->reader.Start();
+  this->reader.WatchLocalEndpoint("me");
+  BOOST_TEST(this->Until([&] { return this->observer.locals > 0; }));
+  this->reader.SetMode(membership::ReadingMode::kResting);
+  while (this->io.poll() > 0) {
+    // What was sent before arrives.
+  }
+  const auto reads = this->store.Reads();
+  const auto watches = this->store.Watches();
+  this->io.run_for(200ms);
+  BOOST_TEST(this->store.Reads() == reads);
+  BOOST_TEST(this->store.Watches() == watches);
+  this->store.Put("op/config", Configuration(8));
+  this->reader.SetMode(membership::ReadingMode::kAlone);
+  BOOST_TEST(this->Until([&] { return this->observer.version == 8; }));
+}
+
+struct Watching : LongWatches {
+  Watching() {
+    this->store.Put("op/config", Configuration(3));
+    this->store.Put("servers/one", Endpoint("ready"));
+    this->reader.Start();
+    this->reader.SetMode(membership::ReadingMode::kWatching);
+  }
+};
+
+// One call tells of the changes of all endpoints.
+BOOST_FIXTURE_TEST_CASE(ANodeThatWatchesHearsAllChangesByFewCalls, Watching) {
+  BOOST_TEST(this->Until([&] { return this->observer.lists > 0; }));
+  BOOST_TEST((this->observer.list.followed_for > 0s));
+  BOOST_TEST(this->Until([&] { return this->store.Watches() >= 2; }));
+  const auto watches = this->store.Watches();
+  this->store.Put("servers/two", Endpoint("draining"));
+  BOOST_TEST(this->Until([&] { return this->observer.change_sets == 1; }));
+  BOOST_TEST(this->observer.changes.entries.at(0).id == "two");
+  BOOST_TEST(this->observer.changes.entries.at(0).leaving);
+  this->store.Delete("servers/one");
+  BOOST_TEST(this->Until([&] { return this->observer.change_sets == 2; }));
+  BOOST_TEST(this->observer.changes.removed.at(0).first == "one");
+  BOOST_TEST(this->observer.changes.since > 0U);
+  BOOST_TEST(this->store.Watches() <= watches + 2);
+}
+
+// An entry that can't be read names no endpoint, not even the one that was
+// there before.
+BOOST_FIXTURE_TEST_CASE(AnEntryThatTurnsUnreadableIsGone, Watching) {
+  BOOST_TEST(this->Until([&] { return this->store.Watches() >= 2; }));
+  this->store.Put("servers/one", "\xff");
+  BOOST_TEST(this->Until([&] { return this->observer.change_sets == 1; }));
+  BOOST_TEST(this->observer.changes.removed.at(0).first == "one");
+}
+
+BOOST_FIXTURE_TEST_CASE(AWatchOfAllReadsAnewAfterALostHistory, Watching) {
+  BOOST_TEST(this->Until([&] { return this->store.Watches() >= 2; }));
+  this->store.FailWith(503);
+  this->store.Put("servers/two", Endpoint("ready"));
+  BOOST_TEST(this->Until([&] { return this->observer.reached == false; }));
+  this->store.DropHistory();
+  this->store.FailWith(0);
+  BOOST_TEST(
+      this->Until([&] { return this->observer.list.entries.size() == 2U; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace agaterun::platform_adapter
