Proxy: A planned stop takes no request of callers that it might cut

Ruled out: a late end of the process; it ended where it should. Change: 3 s after the signal, or half of a shorter grace, requests of callers get 503 with the time to come back and the connection closes; calls of what runs on this host are still taken. Tests: planned_stop_test and call_origin_test, both without such an interface before.

--- a/libraries/calls/call_origin.cc
+++ b/libraries/calls/call_origin.cc
@@ -119,6 +119,10 @@
                     Reason::kWaitingForState);
     return;
   }
+  if (this->stopping && !parent) {
+    this->AnswerNow(id, request, http_status::kUnavailable, Reason::kLeaving);
+    return;
+  }
   const auto* host = FindHeader(request.headers, "Host");
   const auto* route =
       host == nullptr ? nullptr : this->routes->Find(*host, request.target);
--- a/libraries/calls/call_origin.h
+++ b/libraries/calls/call_origin.h
@@ -94,6 +94,9 @@
                  HttpRequest request,
                  const std::optional<VisitGate::Parent>& parent);
   void OnCallerGone(Instant now, decision::CallId call);
+  // From now on callers are sent elsewhere at once; calls of requests that run
+  // on this host are still taken.
+  void StopTaking() { this->stopping = true; }
   void OnReply(Instant now,
                const decision::VisitReply& reply,
                const decision::Answer& answer);
@@ -177,6 +180,7 @@
   routing::EndpointChooser chooser;
   retries::RepeatBudget budget;
   admission::EntryAdmission admission;
+  bool stopping = false;
   std::unordered_map<decision::CallId, Call> calls;
   std::multimap<Instant, decision::CallId> deadlines;
 };
--- a/libraries/proxy/planned_stop.cc
+++ b/libraries/proxy/planned_stop.cc
@@ -13,6 +13,10 @@
 // Callers need this long to notice that they are to go elsewhere.
 constexpr Duration kLeaveTime = 2300ms;
 
+// Callers go elsewhere by then. Whoever still comes is told to at once: it
+// might be cut at the end.
+constexpr Duration kTakeTime = 3s;
+
 // A short grace is divided into as many parts: serving on, leaving, the rest.
 constexpr int kStopParts = 4;
 
@@ -27,6 +31,11 @@
   }
 }
 
+bool PlannedStop::TakesRequests(Instant now) const {
+  const auto take_time = std::min(kTakeTime, this->grace * 2 / kStopParts);
+  return !this->since || now - *this->since < take_time;
+}
+
 bool PlannedStop::TakeLeaving(Instant now) {
   const auto serve_on = std::min(kServeOnTime, this->grace / kStopParts);
   if (!this->since || this->has_left || now - *this->since < serve_on) {
--- a/libraries/proxy/planned_stop.h
+++ b/libraries/proxy/planned_stop.h
@@ -19,6 +19,9 @@
   void Start(Instant now);
   bool HasStarted() const { return this->since.has_value(); }
 
+  // False when what a caller asks now might not be done before the end.
+  bool TakesRequests(Instant now) const;
+
   // True once, when other nodes are to be told to go elsewhere.
   bool TakeLeaving(Instant now);
 
--- a/libraries/proxy/proxy_node.cc
+++ b/libraries/proxy/proxy_node.cc
@@ -631,6 +631,9 @@
 
 void ProxyNode::FollowPlannedStop() {
   const auto now = this->Now();
+  if (!this->planned_stop.TakesRequests(now)) {
+    this->origin.StopTaking();
+  }
   if (this->planned_stop.TakeLeaving(now)) {
     this->gate.StartLeaving(now);
     this->TellOwnLoad();
--- a/tests/calls/call_origin_test.cc
+++ b/tests/calls/call_origin_test.cc
@@ -374,6 +374,19 @@
   BOOST_TEST((this->output.nested_costs.at(0).slot_time == 40ms));
 }
 
+// During a planned stop callers are told to go elsewhere, what runs on this
+// host still gets the calls that it needs.
+BOOST_FIXTURE_TEST_CASE(WhileStoppingItTakesOnlyCallsOfWhatRunsHere, Fixture) {
+  this->origin.StopTaking();
+  this->Ask(1, "/send/x");
+  BOOST_TEST(this->output.answers.at(1).status == 503);
+  BOOST_TEST((FindHeader(this->output.answers.at(1).headers, "Retry-After") !=
+              nullptr));
+  BOOST_TEST(this->output.sent.empty());
+  this->Ask(2, "/read/x", "5000", VisitGate::Parent{.visit = 4});
+  BOOST_TEST(this->output.sent.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace agaterun::calls
--- a/tests/proxy/planned_stop_test.cc
+++ b/tests/proxy/planned_stop_test.cc
@@ -37,6 +37,16 @@
   BOOST_TEST(this->stop.TakeEnd(this->now + 5500ms, /*is_idle=*/false));
 }
 
+// A caller that came more than five seconds after the signal was taken in, and
+// cut off at the end.
+BOOST_FIXTURE_TEST_CASE(TakesNothingThatMightBeCutAtTheEnd, Fixture) {
+  BOOST_TEST(this->stop.TakesRequests(this->now));
+  this->stop.Start(this->now);
+  BOOST_TEST(this->stop.TakesRequests(this->now + 2900ms));
+  BOOST_TEST(!this->stop.TakesRequests(this->now + 3s));
+  BOOST_TEST(!this->stop.TakesRequests(this->now + 5s));
+}
+
 BOOST_FIXTURE_TEST_CASE(ASecondSignalDoesNotStartAnew, Fixture) {
   this->stop.Start(this->now);
   this->stop.Start(this->now + 5s);
@@ -49,6 +59,7 @@
   this->stop.Start(this->now);
   BOOST_TEST(this->stop.TakeLeaving(this->now + 500ms));
   BOOST_TEST(!this->stop.TakeEnd(this->now + 900ms, /*is_idle=*/true));
+  BOOST_TEST(!this->stop.TakesRequests(this->now + 1s));
   BOOST_TEST(this->stop.TakeEnd(this->now + 1s, /*is_idle=*/true));
 }
 
