Calls: What must not run twice is offered first to a node that was not heard just now

Cause: answers 502 or 504 to requests that reached no endpoint. Most belong to a cut or a loss of power that nobody has noticed yet: the frame goes into silence, and whether it arrived can't be known. Ruled out: a frame that a gate takes only while it is young; it proves nothing of a run whose word was lost. Telling a caller of a sent request that it did not run. Change: when the node has said nothing for 450 ms (150 ms across a border), an at-most-once request is preceded by an offer that runs nothing. An offer without an answer within 250 ms, or lost with its connection, is taken elsewhere, and where nobody answers the caller gets a true 503 with the time to come back.

--- a/libraries/calls/call_origin.cc
+++ b/libraries/calls/call_origin.cc
@@ -38,6 +38,14 @@
 // Share of failures of a service above which nested calls are not repeated.
 constexpr double kMostFailing = 0.25;
 
+// A node that said something so lately is there: within the failure domain a
+// heartbeat and a half, elsewhere less than the time to notice a cut.
+constexpr Duration kNearWordTrusted = 450ms;
+constexpr Duration kFarWordTrusted = 150ms;
+
+// Time for the answer to an offer, which waits for nothing.
+constexpr Duration kOfferTime = 250ms;
+
 // What is left must be enough for another attempt to make sense.
 constexpr Duration kLeastForRepeat = 50ms;
 
@@ -231,8 +239,29 @@
   this->SendTo(now, call, *node);
 }
 
+bool CallOrigin::NeedsOffer(Instant now, const Call& call, NodeAddress node) {
+  const auto* known = this->fleet.Find(node);
+  if (call.route->IsIdempotent() || node == this->options.self ||
+      known == nullptr) {
+    return false;
+  }
+  const auto trusted =
+      this->fleet.IsNear(*known) ? kNearWordTrusted : kFarWordTrusted;
+  return !known->last_heard || now - *known->last_heard > trusted;
+}
+
 void CallOrigin::SendTo(Instant now, Call& call, NodeAddress node) {
-  call.attempt = Attempt{.node = node, .number = ++call.attempts, .sent = now};
+  this->SendAttempt(now, call, node, this->NeedsOffer(now, call, node));
+}
+
+void CallOrigin::SendAttempt(Instant now,
+                             Call& call,
+                             NodeAddress node,
+                             bool is_offer) {
+  call.attempt = Attempt{.node = node,
+                         .is_offer = is_offer,
+                         .number = ++call.attempts,
+                         .sent = now};
   call.last_node = node;
   this->fleet.AttemptSent(now, node);
   const VisitRequest visit{.attempt = {.origin = this->options.self,
@@ -247,8 +276,10 @@
                            .fingerprint = call.fingerprint,
                            .nested = call.parent.has_value(),
                            .returning = call.returning,
-                           .patience = this->PatienceOf(now, call)};
-  this->output.SendVisit(node, visit, call.request);
+                           .patience = this->PatienceOf(now, call),
+                           .is_offer = is_offer};
+  static const auto kNoRequest = std::make_shared<const HttpRequest>();
+  this->output.SendVisit(node, visit, is_offer ? kNoRequest : call.request);
 }
 
 CallOrigin::Call* CallOrigin::FindCurrent(const AttemptId& attempt) {
@@ -268,6 +299,7 @@
     return;
   }
   const auto from = call->attempt->node;
+  const bool was_offer = call->attempt->is_offer;
   this->fleet.TakeLoad(now, from, reply.load);
   const bool failed =
       reply.outcome == Outcome::kUnknown ||
@@ -276,6 +308,10 @@
        answer->status != http_status::kGatewayTimeout);
   this->fleet.AttemptReplied(now, from, failed);
   call->attempt.reset();
+  if (was_offer && reply.reason == Reason::kNone) {
+    this->SendAttempt(now, *call, from, /*is_offer=*/false);
+    return;
+  }
   call->offered += reply.offered ? 1 : 0;
   if (reply.outcome == Outcome::kNotRun) {
     call->missed_costs = reply.costs;
@@ -387,11 +423,11 @@
   if (call == nullptr) {
     return;
   }
-  const auto node = call->attempt->node;
+  const auto [node, is_offer, number, sent_at] = *call->attempt;
   this->fleet.AttemptEnded(now, node, /*silent=*/true);
   call->attempt.reset();
   call->tried.push_back(node);
-  if (!sent) {
+  if (!sent || is_offer) {
     call->reason = Reason::kUnreachable;
     this->Dispatch(now, *call, /*needs_room=*/false);
     return;
@@ -431,6 +467,28 @@
     const auto id = this->deadlines.begin()->second;
     this->GiveUp(now, this->calls.at(id));
   }
+  this->EndSilentOffers(now);
+  this->EndSilentAttempts(now);
+}
+
+void CallOrigin::EndSilentOffers(Instant now) {
+  std::vector<CallId> unanswered;
+  for (const auto& [id, call] : this->calls) {
+    if (call.attempt && call.attempt->is_offer &&
+        now - call.attempt->sent > kOfferTime) {
+      unanswered.push_back(id);
+    }
+  }
+  for (const auto id : unanswered) {
+    auto& call = this->calls.at(id);
+    call.tried.push_back(call.attempt->node);
+    call.reason = Reason::kUnreachable;
+    this->DropAttempt(now, call, /*silent=*/true);
+    this->Dispatch(now, call, /*needs_room=*/false);
+  }
+}
+
+void CallOrigin::EndSilentAttempts(Instant now) {
   const auto silent = this->fleet.SilentNodes(now);
   if (silent.empty()) {
     return;
@@ -472,7 +530,7 @@
 }
 
 void CallOrigin::GiveUp(Instant now, Call& call) {
-  const bool waits = call.attempt.has_value();
+  const bool waits = call.attempt && !call.attempt->is_offer;
   this->DropAttempt(now, call, /*silent=*/false);
   if (!waits && !call.may_have_run) {
     this->Refuse(now, call);
--- a/libraries/calls/call_origin.h
+++ b/libraries/calls/call_origin.h
@@ -116,6 +116,9 @@
  private:
   struct Attempt {
     NodeAddress node;
+    // Nothing but a question so far, so that silence proves that it did not
+    // run.
+    bool is_offer = false;
     std::uint32_t number = 0;
     Instant sent{};
   };
@@ -152,7 +155,15 @@
                  decision::Reason reason);
   // Sends the call to a node that it has not been to, or ends it.
   void Dispatch(Instant now, Call& call, bool needs_room);
+  // Sends the call, or first an offer when it must not run twice and the node
+  // was not heard just now.
   void SendTo(Instant now, Call& call, NodeAddress node);
+  void SendAttempt(Instant now, Call& call, NodeAddress node, bool is_offer);
+  bool NeedsOffer(Instant now, const Call& call, NodeAddress node);
+  // Takes offers that got no answer elsewhere.
+  void EndSilentOffers(Instant now);
+  // Takes idempotent calls that wait at silent nodes elsewhere.
+  void EndSilentAttempts(Instant now);
   void TakeNotRun(Instant now, Call& call, const decision::VisitReply& reply);
   // The attempt may have run and brought no answer.
   void TakeUnknown(Instant now, Call& call, decision::Reason reason);
--- a/libraries/calls/visit_gate.cc
+++ b/libraries/calls/visit_gate.cc
@@ -110,6 +110,10 @@
   if (this->by_attempt.contains(request.attempt)) {
     return;
   }
+  if (request.is_offer) {
+    this->AnswerOffer(now, from, request);
+    return;
+  }
   const auto number = this->next_number++;
   this->by_attempt.emplace(request.attempt, number);
   Visit arrived{.from = from,
@@ -148,6 +152,20 @@
       {.id = number, .rank = rank, .latest_start = now + request.patience});
 }
 
+void VisitGate::AnswerOffer(Instant now,
+                            NodeAddress from,
+                            const VisitRequest& request) {
+  const auto reason = request.service == this->options.service
+                          ? this->Closed()
+                          : Reason::kNoSuchService;
+  this->output.SendReply(from,
+                         {.attempt = request.attempt,
+                          .outcome = Outcome::kNotRun,
+                          .reason = reason,
+                          .load = this->Load(now)},
+                         nullptr);
+}
+
 void VisitGate::Start(Instant now, VisitNumber number) {
   auto& visit = this->visits.at(number);
   if (visit.deadline <= now) {
--- a/libraries/calls/visit_gate.h
+++ b/libraries/calls/visit_gate.h
@@ -137,6 +137,10 @@
   };
 
   decision::Reason Closed() const;
+  // Says whether the gate takes work; nothing runs.
+  void AnswerOffer(Instant now,
+                   NodeAddress from,
+                   const decision::VisitRequest& request);
   void Start(Instant now, VisitNumber number);
   void Pump(Instant now);
   void RefuseQueued(Instant now, decision::Reason reason);
--- a/libraries/decision/messages.h
+++ b/libraries/decision/messages.h
@@ -182,6 +182,7 @@
   bool nested = false;     // Sent by a backend server that runs a request.
   bool returning = false;  // Its caller was refused before.
   Duration patience{};     // Longest wait for a slot.
+  bool is_offer = false;   // Asks whether the gate takes work; runs nothing.
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -189,7 +190,7 @@
             this->remaining, this->importance, this->admission_key,
             this->idempotent, this->allowance, this->request_id,
             this->fingerprint, this->share, this->binding, this->moved_to,
-            this->nested, this->returning, this->patience);
+            this->nested, this->returning, this->patience, this->is_offer);
   }
 };
 
--- a/tests/calls/call_origin_test.cc
+++ b/tests/calls/call_origin_test.cc
@@ -90,6 +90,14 @@
                          .started_at = 5});
     }
     this->fleet.SetList(this->now, entries);
+    this->HearAll();
+  }
+
+  // All nodes say that they are there.
+  void HearAll() {
+    for (std::uint32_t ip = 1; ip <= 3; ++ip) {
+      this->fleet.Heard(this->now, {.ip = ip, .port = kPort});
+    }
   }
 
   void Ask(decision::CallId call,
@@ -387,6 +395,65 @@
   BOOST_TEST(this->output.sent.size() == 1U);
 }
 
+// A cut or a loss of power that nobody has noticed yet: what must not run twice
+// is not sent into silence, so that the caller can be told the truth.
+BOOST_FIXTURE_TEST_CASE(ANodeNotHeardLatelyIsAskedFirst, Fixture) {
+  this->now += 600ms;
+  this->Ask(1, "/send/x");
+  BOOST_TEST(this->output.sent.back().visit.is_offer);
+  BOOST_TEST(this->output.sent.back().request->target.empty());
+  this->Reply(Outcome::kNotRun, Reason::kNone);
+  BOOST_TEST(this->output.sent.size() == 2U);
+  BOOST_TEST(!this->output.sent.back().visit.is_offer);
+  BOOST_TEST(this->output.sent.back().request->target == "/send/x");
+  BOOST_TEST((this->output.sent[0].to == this->output.sent[1].to));
+  this->Reply(Outcome::kCompleted, Reason::kNone);
+  BOOST_TEST(this->StatusOf(1) == 200);
+}
+
+BOOST_FIXTURE_TEST_CASE(ANodeHeardJustNowIsNotAskedFirst, Fixture) {
+  this->now += 300ms;
+  this->Ask(1, "/send/x");
+  BOOST_TEST(!this->output.sent.back().visit.is_offer);
+}
+
+BOOST_FIXTURE_TEST_CASE(WhatMayBeRepeatedNeedsNoOffer, Fixture) {
+  this->now += 600ms;
+  this->Ask(1, "/read/x");
+  BOOST_TEST(!this->output.sent.back().visit.is_offer);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnOfferWithoutAnswerGoesElsewhere, Fixture) {
+  this->now += 600ms;
+  this->Ask(1, "/send/x");
+  const auto silent = this->output.sent.back().to;
+  this->now += 300ms;
+  this->origin.OnTick(this->now);
+  BOOST_TEST(this->output.sent.size() == 2U);
+  BOOST_TEST((this->output.sent.back().to != silent));
+}
+
+BOOST_FIXTURE_TEST_CASE(WhenAllAreSilentTheCallerIsToldThatItDidNotRun,
+                        Fixture) {
+  this->now += 600ms;
+  this->Ask(1, "/send/x");
+  for (int round = 0; round < 4; ++round) {
+    this->now += 300ms;
+    this->origin.OnTick(this->now);
+  }
+  BOOST_TEST(this->StatusOf(1) == 503);
+  BOOST_TEST(this->origin.CallsInFlight() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnOfferLostWithItsConnectionDidNotRun, Fixture) {
+  this->now += 600ms;
+  this->Ask(1, "/send/x");
+  this->origin.OnAttemptLost(this->now, this->output.sent.back().visit.attempt,
+                             /*sent=*/true);
+  BOOST_TEST(this->output.sent.size() == 2U);
+  BOOST_TEST(this->StatusOf(1) == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace agaterun::calls
--- a/tests/calls/visit_gate_test.cc
+++ b/tests/calls/visit_gate_test.cc
@@ -325,6 +325,28 @@
   BOOST_TEST((costs["drafts"] == 300ms));
 }
 
+// An offer is answered at once and runs nothing, whether slots are free or not.
+BOOST_FIXTURE_TEST_CASE(AnOfferIsAnsweredAndRunsNothing, Fixture) {
+  const auto offer = [&](decision::CallId call, const char* service) {
+    this->gate.OnVisit(this->now, kOrigin,
+                       {.attempt = {.origin = kOrigin, .call = call},
+                        .service = service,
+                        .remaining = 1s,
+                        .is_offer = true},
+                       std::make_shared<HttpRequest>());
+  };
+  offer(1, "drafts");
+  BOOST_TEST((this->output.replies.at(1).outcome == Outcome::kNotRun));
+  BOOST_TEST((this->ReasonOf(1) == Reason::kNone));
+  offer(2, "ledger");
+  BOOST_TEST((this->ReasonOf(2) == Reason::kNoSuchService));
+  this->gate.StartLeaving(this->now);
+  offer(3, "drafts");
+  BOOST_TEST((this->ReasonOf(3) == Reason::kLeaving));
+  BOOST_TEST(this->output.started.empty());
+  BOOST_TEST(this->gate.VisitsInFlight() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace agaterun::calls
