--- a/libraries/calls/call_origin.cc
+++ b/libraries/calls/call_origin.cc
@@ -278,8 +278,8 @@
                            .returning = call.returning,
                            .patience = this->PatienceOf(now, call),
                            .is_offer = is_offer};
-  static const auto kNoRequest = std::make_shared<const HttpRequest>();
-  this->output.SendVisit(node, visit, is_offer ? kNoRequest : call.request);
+  static const auto no_request = std::make_shared<const HttpRequest>();
+  this->output.SendVisit(node, visit, is_offer ? no_request : call.request);
 }
 
 CallOrigin::Call* CallOrigin::FindCurrent(const AttemptId& attempt) {
--- a/tests/fakes/store/fake_store.cc
+++ b/tests/fakes/store/fake_store.cc
@@ -88,6 +88,7 @@
     return;
   }
   if (this->failure != 0) {
+    this->failed.push_back(request.target.substr(0, request.target.find('?')));
     this->listener.Answer(call, {.status = this->failure});
     return;
   }
--- a/tests/fakes/store/fake_store.h
+++ b/tests/fakes/store/fake_store.h
@@ -32,6 +32,9 @@
   // Items of one page.
   void SetPageSize(std::size_t size) { this->page_size = size; }
 
+  // Paths of the calls that FailWith answered.
+  std::vector<std::string>& Failed() { return this->failed; }
+
   int Reads() const { return this->reads; }
   int Watches() const { return this->watches; }
   int StaleReads() const { return this->stale_reads; }
@@ -67,6 +70,7 @@
   std::uint64_t oldest = 0;
   std::vector<Waiting> waiting;
   int failure = 0;
+  std::vector<std::string> failed;
   bool silent = false;
   std::size_t page_size = 500;
   int reads = 0;
