Node: Read empty lists without a copy, refuse ages that no node tells; ProxyNode in three files

The bytes copied were none, so nothing was damaged. The fault is older; the fuzz test met it since heartbeats grew. Change: an empty list is not copied. While there: ages of sums and of the platform's state must be durations that can be subtracted, the reading a known value, and a heartbeat must be written in the one way that nodes write it. A near node that asks for an answer gets one with the demand of callers, since an answer without it stood for no demand until the next heartbeat. Tests: AnEmptyListOfNumbersIsRead and AgesThatNoNodeTellsAreRefused; the fuzz test starts from a heartbeat with all parts.

--- a/libraries/node/frame_archive.h
+++ b/libraries/node/frame_archive.h
@@ -57,6 +57,10 @@
     if (size > this->rest.size()) {
       throw cereal::Exception("a value goes past the end of the frame");
     }
+    // An empty list has no place to copy to.
+    if (size == 0) {
+      return;
+    }
     std::memcpy(data, this->rest.data(), size);
     this->rest.remove_prefix(size);
   }
--- a/libraries/node/frame_messages.cc
+++ b/libraries/node/frame_messages.cc
@@ -58,9 +58,15 @@
 }
 
 bool IsValid(const decision::Heartbeat& heartbeat) {
-  return std::all_of(
+  const bool convicted_valid = std::all_of(
       heartbeat.convicted.begin(), heartbeat.convicted.end(),
       [](const auto& convicted) { return IsDuration(convicted.second); });
+  const bool sums_valid =
+      std::all_of(heartbeat.sums.begin(), heartbeat.sums.end(),
+                  [](const auto& sum) { return IsDuration(sum.age); });
+  return convicted_valid && sums_valid &&
+         heartbeat.platform_age >= Duration::zero() &&
+         heartbeat.reading <= decision::PlatformReading::kFollows;
 }
 
 template <class Message>
@@ -173,7 +179,20 @@
 }
 
 Result<decision::Heartbeat> DecodeHeartbeat(std::string_view payload) {
-  return Decode<decision::Heartbeat>(payload);
+  auto heartbeat = Decode<decision::Heartbeat>(payload);
+  if (!heartbeat) {
+    return heartbeat;
+  }
+  // Demand leaves out what is zero, so some bytes say the same in two ways. A
+  // node writes it in one.
+  const auto again = EncodeHeartbeat(*heartbeat);
+  if (again.bytes.compare(FrameHeader::kBytes, std::string::npos, payload) !=
+      0) {
+    return MakeError(ErrorKind::kMalformedFrame,
+                     "the heartbeat is written in an unusual way; run the same "
+                     "release on all hosts");
+  }
+  return heartbeat;
 }
 
 Result<std::vector<decision::TicketItemText>> DecodeTicketItems(
--- a/libraries/proxy/proxy_node.cc
+++ b/libraries/proxy/proxy_node.cc
@@ -1,12 +1,10 @@
 #include "libraries/proxy/proxy_node.h"
 
 #include <algorithm>
-#include <asio/post.hpp>
 #include <utility>
 
 #include "libraries/base/log.h"
 #include "libraries/http/message_writer.h"
-#include "libraries/routing/route_table.h"
 
 namespace agaterun::proxy {
 
@@ -19,7 +17,6 @@
 using decision::VisitRequest;
 
 constexpr Duration kTickInterval = 50ms;
-constexpr Duration kHeartbeatInterval = 300ms;
 constexpr Duration kFleetCheckInterval = 1s;
 
 // Time for which a connection to another node waits for it.
@@ -233,208 +230,6 @@
   this->ArmWakeTimer();
 }
 
-void ProxyNode::OnHeartbeat(decision::Heartbeat heartbeat) {
-  this->fleet.TakeLoad(this->Now(), heartbeat.from, heartbeat.load);
-  this->TakeDemand(heartbeat);
-  for (const auto& crash : heartbeat.crashes) {
-    this->crashes.NoteToldCrash(this->Now(), crash);
-  }
-  this->OnDigestSeen(heartbeat.from, heartbeat.state_digest);
-  this->AskIfLater(heartbeat);
-  if (heartbeat.wants_answer) {
-    this->SendHeartbeat(
-        {.node = heartbeat.from, .kind = membership::HeartbeatKind::kFar});
-  }
-}
-
-void ProxyNode::TakeDemand(const decision::Heartbeat& heartbeat) {
-  auto& others = this->origin.Admission().Others();
-  const auto* sender = this->fleet.Find(heartbeat.from);
-  if (sender != nullptr && this->fleet.IsNear(*sender)) {
-    others.TakePart(this->Now(), heartbeat.from, heartbeat.demand);
-  }
-  for (const auto& sum : heartbeat.sums) {
-    others.TakeSum(this->Now(), this->fleet.OwnDomain(), sum);
-  }
-}
-
-void ProxyNode::OnDigestSeen(NodeAddress peer, std::uint64_t digest) {
-  this->fleet.Heard(this->Now(), peer);
-  if (digest > this->spread.Version()) {
-    this->AskForState(peer);
-  }
-}
-
-void ProxyNode::AskIfLater(const decision::Heartbeat& heartbeat) {
-  const auto now = this->Now();
-  const auto* sender = this->fleet.Find(heartbeat.from);
-  if (sender != nullptr && !this->fleet.IsNear(*sender)) {
-    return;
-  }
-  this->directory.TakeHeartbeat(
-      now, heartbeat, heartbeat.state_digest == this->spread.Version());
-  if (this->directory.ShouldAsk(now, heartbeat)) {
-    this->AskForState(heartbeat.from);
-  }
-}
-
-void ProxyNode::AskForState(NodeAddress peer) {
-  if (this->spread.ShouldAsk(this->Now(), peer)) {
-    this->links->RequestTicketItems(
-        peer, this->spread.Known(this->directory.AskSince(this->Now())));
-  }
-}
-
-void ProxyNode::OnTicketItemsWanted(
-    NodeAddress from,
-    std::vector<decision::TicketItemVersion> have) {
-  this->links->SendTicketItems(
-      from, this->spread.Items(have, this->directory.Endpoints()));
-}
-
-void ProxyNode::OnTicketItems(NodeAddress /*from*/,
-                              std::vector<decision::TicketItemText> items) {
-  if (const auto* item = membership::StateSpread::FindConfiguration(items);
-      item != nullptr && item->number > this->spread.Version()) {
-    auto configuration = this->source->DecodeConfiguration(item->text);
-    if (configuration) {
-      this->OnConfiguration(std::make_shared<const routing::Configuration>(
-                                *std::move(configuration)),
-                            item->text);
-    } else {
-      this->OnConfigurationUnreadable(configuration.error().message);
-    }
-  }
-  if (const auto changes = membership::StateSpread::ReadEndpoints(items);
-      changes && this->directory.TakeTold(*changes)) {
-    this->TakeEndpoints();
-  }
-}
-
-// --- The platform. ---
-
-void ProxyNode::OnConfiguration(
-    std::shared_ptr<const routing::Configuration> configuration,
-    std::string text) {
-  if (configuration->version <= this->spread.Version()) {
-    return;
-  }
-  Log(LogEvent::kConfigurationInForce,
-      {{"version", std::to_string(configuration->version)},
-       {"routes", std::to_string(configuration->routes.size())}});
-  this->spread.SetConfiguration(configuration->version, std::move(text));
-  this->links->SetStateDigest(configuration->version);
-  const auto& limits = configuration->limits;
-  this->callers->SetLimits(
-      {.header_bytes = limits.header_bytes, .body_bytes = limits.body_bytes},
-      limits.header_timeout, limits.idle_timeout);
-  this->origin.SetRoutes(
-      std::make_shared<const routing::RouteTable>(std::move(configuration)));
-}
-
-void ProxyNode::OnEndpointList(membership::EndpointList list) {
-  if (this->directory.TakeList(this->Now(), list)) {
-    this->TakeEndpoints();
-  }
-}
-
-void ProxyNode::OnEndpointChanges(membership::EndpointChanges changes) {
-  if (this->directory.TakeChanges(this->Now(), changes)) {
-    this->TakeEndpoints();
-  }
-}
-
-void ProxyNode::OnLocalEndpoint(membership::LocalEndpoint endpoint) {
-  if (this->directory.TakeLocal(endpoint)) {
-    this->TakeEndpoints();
-  }
-  this->FollowLocalEntry(/*is_own_word=*/true);
-}
-
-void ProxyNode::TakeEndpoints() {
-  const auto entries = this->directory.Endpoints().Entries();
-  this->fleet.SetList(this->Now(), entries);
-  this->origin.SetFleetSize(static_cast<int>(entries.size()));
-  const bool reads = this->directory.Reading(this->Now()) ==
-                     decision::PlatformReading::kFollows;
-  this->FollowLocalEntry(/*is_own_word=*/reads);
-  if (reads) {
-    // Others learn it from this node alone.
-    this->SendHeartbeats();
-  }
-}
-
-void ProxyNode::FollowReadingMode() {
-  const auto mode = this->directory.Update(this->Now(), this->fleet);
-  if (mode == this->reading_mode) {
-    return;
-  }
-  this->reading_mode = mode;
-  const auto age = this->directory.Age(this->Now());
-  Log(LogEvent::kReadingModeChanged,
-      {{"mode", std::string(NameOf(membership::kReadingModeNames, mode))},
-       {"age_ms", age ? std::to_string(*age / 1ms) : "unknown"},
-       {"revision",
-        std::to_string(this->directory.Endpoints().CompleteRevision())}});
-  this->source->SetMode(mode);
-}
-
-void ProxyNode::FollowLocalEntry(bool is_own_word) {
-  if (!this->source) {
-    return;
-  }
-  auto listed = this->fleet.EntryAt(*this->settings.backend_server);
-  if (listed && listed->service != this->settings.service) {
-    listed.reset();
-  }
-  auto entry = this->local_entry.Take(std::move(listed), is_own_word);
-  this->directory.SetOwnEntryInDoubt(this->local_entry.IsInDoubt());
-  this->source->WatchLocalEndpoint(entry ? entry->id : "");
-  this->SetLocalEntry(std::move(entry));
-}
-
-void ProxyNode::SetLocalEntry(std::optional<membership::EndpointEntry> entry) {
-  const auto& known = this->gate.Entry();
-  const bool is_new = entry && (!known || known->id != entry->id ||
-                                known->started_at != entry->started_at ||
-                                known->leaving != entry->leaving);
-  if (is_new) {
-    Log(LogEvent::kBackendListed,
-        {{"instance", entry->id},
-         {"state", entry->leaving ? "leaving" : "ready"},
-         {"slots", std::to_string(entry->slots)}});
-  } else if (!entry && known) {
-    Log(LogEvent::kBackendUnlisted, {{"instance", known->id}});
-  }
-  const bool other_life =
-      entry && known &&
-      (known->id != entry->id || known->started_at != entry->started_at);
-  if (other_life) {
-    this->pool->CloseIdle();
-  }
-  const bool changes = is_new || entry.has_value() != known.has_value();
-  this->gate.SetEntry(this->Now(), std::move(entry));
-  if (changes) {
-    this->TellOwnLoad();
-  } else {
-    this->TakeOwnLoad();
-  }
-}
-
-void ProxyNode::OnConfigurationUnreadable(std::string why) {
-  Log(LogEvent::kConfigurationRefused, {{"why", why}});
-}
-
-void ProxyNode::OnPlatformReached(bool reached, std::string why) {
-  this->directory.SetReached(this->Now(), reached);
-  if (this->platform_reached == reached) {
-    return;
-  }
-  this->platform_reached = reached;
-  Log(reached ? LogEvent::kPlatformReached : LogEvent::kPlatformUnreachable,
-      {{"why", why}});
-}
-
 // --- The backend server. ---
 
 void ProxyNode::StartExchange(calls::VisitNumber visit,
@@ -548,78 +343,6 @@
   });
 }
 
-void ProxyNode::TakeOwnLoad() {
-  const auto now = this->Now();
-  this->fleet.TakeLoad(now, this->settings.node, this->gate.Load(now));
-}
-
-void ProxyNode::TellOwnLoad() {
-  this->TakeOwnLoad();
-  this->SendHeartbeats();
-}
-
-void ProxyNode::SendHeartbeats() {
-  this->next_heartbeat = this->Now() + kHeartbeatInterval;
-  std::vector<NodeAddress> waiting;
-  for (const auto& [attempt, from] : this->visit_origins) {
-    waiting.push_back(from);
-  }
-  for (const auto& target :
-       this->heartbeat_plan.Next(this->Now(), this->fleet, waiting)) {
-    this->SendHeartbeat(target);
-  }
-}
-
-void ProxyNode::SendHeartbeat(const membership::HeartbeatTarget& target) {
-  const auto now = this->Now();
-  decision::Heartbeat heartbeat{.from = this->settings.node,
-                                .incarnation = this->incarnation,
-                                .state_digest = this->spread.Version(),
-                                .load = this->gate.Load(now),
-                                .crashes = this->crashes.ToTell(now),
-                                .wants_answer = target.wants_answer};
-  this->directory.Tell(now, heartbeat);
-  auto& admission = this->origin.Admission();
-  const auto& domain = this->fleet.OwnDomain();
-  switch (target.kind) {
-    case membership::HeartbeatKind::kFar:
-      break;
-    case membership::HeartbeatKind::kSpeaker:
-      heartbeat.sums = {
-          admission.Others().OwnDomain(now, domain, admission.OwnDemand(now))};
-      break;
-    case membership::HeartbeatKind::kNear:
-      heartbeat.demand = admission::ToldDemand(admission.OwnDemand(now));
-      heartbeat.sums = this->SumsForNear(now);
-      break;
-  }
-  this->links->SendHeartbeat(target.node, heartbeat);
-}
-
-std::vector<decision::DemandSum> ProxyNode::SumsForNear(Instant now) {
-  auto& admission = this->origin.Admission();
-  const bool is_speaker = this->fleet.IsSpeaker(now, this->settings.node);
-  const bool is_large = !this->fleet.HearsAllNear();
-  std::vector<decision::DemandSum> sums;
-  if (!is_speaker && !is_large) {
-    return sums;
-  }
-  // In a large domain each node passes on what it heard.
-  if (auto sum = admission.Others().Elsewhere(now); sum.nodes > 0) {
-    sums.push_back(std::move(sum));
-  }
-  if (is_large) {
-    auto sum = is_speaker
-                   ? admission.Others().OwnDomain(now, this->fleet.OwnDomain(),
-                                                  admission.OwnDemand(now))
-                   : admission.Others().NearSum(now);
-    if (sum.nodes > 0) {
-      sums.push_back(std::move(sum));
-    }
-  }
-  return sums;
-}
-
 void ProxyNode::Stop() {
   if (this->planned_stop.HasStarted()) {
     return;
--- a/libraries/proxy/proxy_node.h
+++ b/libraries/proxy/proxy_node.h
@@ -167,6 +167,8 @@
   void SendHeartbeat(const membership::HeartbeatTarget& target);
   std::vector<decision::DemandSum> SumsForNear(Instant now);
   void TakeDemand(const decision::Heartbeat& heartbeat);
+  // The node is known to be in this failure domain.
+  bool IsNear(NodeAddress node) const;
 
   asio::io_context& io;
   NodeSettings settings;
--- /dev/null
+++ b/libraries/proxy/proxy_node_fleet.cc
@@ -0,0 +1,172 @@
+#include <utility>
+
+#include "libraries/proxy/proxy_node.h"
+
+// What a node hears from the other nodes and tells them: load, demand, and what
+// the platform published.
+namespace agaterun::proxy {
+
+namespace {
+
+constexpr Duration kHeartbeatInterval = 300ms;
+
+}  // namespace
+
+bool ProxyNode::IsNear(NodeAddress node) const {
+  const auto& nodes = this->fleet.All();
+  const auto known = nodes.find(node);
+  return known != nodes.end() && this->fleet.IsNear(known->second);
+}
+
+void ProxyNode::OnHeartbeat(decision::Heartbeat heartbeat) {
+  this->fleet.TakeLoad(this->Now(), heartbeat.from, heartbeat.load);
+  this->TakeDemand(heartbeat);
+  for (const auto& crash : heartbeat.crashes) {
+    this->crashes.NoteToldCrash(this->Now(), crash);
+  }
+  this->OnDigestSeen(heartbeat.from, heartbeat.state_digest);
+  this->AskIfLater(heartbeat);
+  if (heartbeat.wants_answer) {
+    this->SendHeartbeat({.node = heartbeat.from,
+                         .kind = this->IsNear(heartbeat.from)
+                                     ? membership::HeartbeatKind::kNear
+                                     : membership::HeartbeatKind::kFar});
+  }
+}
+
+void ProxyNode::TakeDemand(const decision::Heartbeat& heartbeat) {
+  auto& others = this->origin.Admission().Others();
+  if (this->IsNear(heartbeat.from)) {
+    others.TakePart(this->Now(), heartbeat.from, heartbeat.demand);
+  }
+  for (const auto& sum : heartbeat.sums) {
+    others.TakeSum(this->Now(), this->fleet.OwnDomain(), sum);
+  }
+}
+
+void ProxyNode::OnDigestSeen(NodeAddress peer, std::uint64_t digest) {
+  this->fleet.Heard(this->Now(), peer);
+  if (digest > this->spread.Version()) {
+    this->AskForState(peer);
+  }
+}
+
+void ProxyNode::AskIfLater(const decision::Heartbeat& heartbeat) {
+  const auto now = this->Now();
+  const auto* sender = this->fleet.Find(heartbeat.from);
+  if (sender != nullptr && !this->fleet.IsNear(*sender)) {
+    return;
+  }
+  this->directory.TakeHeartbeat(
+      now, heartbeat, heartbeat.state_digest == this->spread.Version());
+  if (this->directory.ShouldAsk(now, heartbeat)) {
+    this->AskForState(heartbeat.from);
+  }
+}
+
+void ProxyNode::AskForState(NodeAddress peer) {
+  if (this->spread.ShouldAsk(this->Now(), peer)) {
+    this->links->RequestTicketItems(
+        peer, this->spread.Known(this->directory.AskSince(this->Now())));
+  }
+}
+
+void ProxyNode::OnTicketItemsWanted(
+    NodeAddress from,
+    std::vector<decision::TicketItemVersion> have) {
+  this->links->SendTicketItems(
+      from, this->spread.Items(have, this->directory.Endpoints()));
+}
+
+void ProxyNode::OnTicketItems(NodeAddress /*from*/,
+                              std::vector<decision::TicketItemText> items) {
+  if (const auto* item = membership::StateSpread::FindConfiguration(items);
+      item != nullptr && item->number > this->spread.Version()) {
+    auto configuration = this->source->DecodeConfiguration(item->text);
+    if (configuration) {
+      this->OnConfiguration(std::make_shared<const routing::Configuration>(
+                                *std::move(configuration)),
+                            item->text);
+    } else {
+      this->OnConfigurationUnreadable(configuration.error().message);
+    }
+  }
+  if (const auto changes = membership::StateSpread::ReadEndpoints(items);
+      changes && this->directory.TakeTold(*changes)) {
+    this->TakeEndpoints();
+  }
+}
+
+void ProxyNode::TakeOwnLoad() {
+  const auto now = this->Now();
+  this->fleet.TakeLoad(now, this->settings.node, this->gate.Load(now));
+}
+
+void ProxyNode::TellOwnLoad() {
+  this->TakeOwnLoad();
+  this->SendHeartbeats();
+}
+
+void ProxyNode::SendHeartbeats() {
+  this->next_heartbeat = this->Now() + kHeartbeatInterval;
+  std::vector<NodeAddress> waiting;
+  for (const auto& [attempt, from] : this->visit_origins) {
+    waiting.push_back(from);
+  }
+  for (const auto& target :
+       this->heartbeat_plan.Next(this->Now(), this->fleet, waiting)) {
+    this->SendHeartbeat(target);
+  }
+}
+
+void ProxyNode::SendHeartbeat(const membership::HeartbeatTarget& target) {
+  const auto now = this->Now();
+  decision::Heartbeat heartbeat{.from = this->settings.node,
+                                .incarnation = this->incarnation,
+                                .state_digest = this->spread.Version(),
+                                .load = this->gate.Load(now),
+                                .crashes = this->crashes.ToTell(now),
+                                .wants_answer = target.wants_answer};
+  this->directory.Tell(now, heartbeat);
+  auto& admission = this->origin.Admission();
+  const auto& domain = this->fleet.OwnDomain();
+  switch (target.kind) {
+    case membership::HeartbeatKind::kFar:
+      break;
+    case membership::HeartbeatKind::kSpeaker:
+      heartbeat.sums = {
+          admission.Others().OwnDomain(now, domain, admission.OwnDemand(now))};
+      break;
+    case membership::HeartbeatKind::kNear:
+      heartbeat.demand = admission::ToldDemand(admission.OwnDemand(now));
+      heartbeat.sums = this->SumsForNear(now);
+      break;
+  }
+  this->links->SendHeartbeat(target.node, heartbeat);
+}
+
+std::vector<decision::DemandSum> ProxyNode::SumsForNear(Instant now) {
+  auto& admission = this->origin.Admission();
+  const bool is_speaker = this->fleet.IsSpeaker(now, this->settings.node);
+  const bool is_large = !this->fleet.HearsAllNear();
+  std::vector<decision::DemandSum> sums;
+  if (!is_speaker && !is_large) {
+    return sums;
+  }
+  // In a large domain each node passes on what it heard.
+  if (auto sum = admission.Others().Elsewhere(now); sum.nodes > 0) {
+    sums.push_back(std::move(sum));
+  }
+  if (is_large) {
+    auto sum = is_speaker
+                   ? admission.Others().OwnDomain(now, this->fleet.OwnDomain(),
+                                                  admission.OwnDemand(now))
+                   : admission.Others().NearSum(now);
+    if (sum.nodes > 0) {
+      sums.push_back(std::move(sum));
+    }
+  }
+  return sums;
+}
+
+}  // namespace agaterun::proxy
--- /dev/null
+++ b/libraries/proxy/proxy_node_platform.cc
@@ -0,0 +1,132 @@
+#include <utility>
+
+#include "libraries/base/log.h"
+#include "libraries/proxy/proxy_node.h"
+#include "libraries/routing/route_table.h"
+
+// What a node takes from the platform, read by itself or passed on.
+namespace agaterun::proxy {
+
+void ProxyNode::OnConfiguration(
+    std::shared_ptr<const routing::Configuration> configuration,
+    std::string text) {
+  if (configuration->version <= this->spread.Version()) {
+    return;
+  }
+  Log(LogEvent::kConfigurationInForce,
+      {{"version", std::to_string(configuration->version)},
+       {"routes", std::to_string(configuration->routes.size())}});
+  this->spread.SetConfiguration(configuration->version, std::move(text));
+  this->links->SetStateDigest(configuration->version);
+  const auto& limits = configuration->limits;
+  this->callers->SetLimits(
+      {.header_bytes = limits.header_bytes, .body_bytes = limits.body_bytes},
+      limits.header_timeout, limits.idle_timeout);
+  this->origin.SetRoutes(
+      std::make_shared<const routing::RouteTable>(std::move(configuration)));
+}
+
+void ProxyNode::OnEndpointList(membership::EndpointList list) {
+  if (this->directory.TakeList(this->Now(), list)) {
+    this->TakeEndpoints();
+  }
+}
+
+void ProxyNode::OnEndpointChanges(membership::EndpointChanges changes) {
+  if (this->directory.TakeChanges(this->Now(), changes)) {
+    this->TakeEndpoints();
+  }
+}
+
+void ProxyNode::OnLocalEndpoint(membership::LocalEndpoint endpoint) {
+  if (this->directory.TakeLocal(endpoint)) {
+    this->TakeEndpoints();
+  }
+  this->FollowLocalEntry(/*is_own_word=*/true);
+}
+
+void ProxyNode::TakeEndpoints() {
+  const auto entries = this->directory.Endpoints().Entries();
+  this->fleet.SetList(this->Now(), entries);
+  this->origin.SetFleetSize(static_cast<int>(entries.size()));
+  const bool reads = this->directory.Reading(this->Now()) ==
+                     decision::PlatformReading::kFollows;
+  this->FollowLocalEntry(/*is_own_word=*/reads);
+  if (reads) {
+    // Others learn it from this node alone.
+    this->SendHeartbeats();
+  }
+}
+
+void ProxyNode::FollowReadingMode() {
+  const auto mode = this->directory.Update(this->Now(), this->fleet);
+  if (mode == this->reading_mode) {
+    return;
+  }
+  this->reading_mode = mode;
+  const auto age = this->directory.Age(this->Now());
+  Log(LogEvent::kReadingModeChanged,
+      {{"mode", std::string(NameOf(membership::kReadingModeNames, mode))},
+       {"age_ms", age ? std::to_string(*age / 1ms) : "unknown"},
+       {"revision",
+        std::to_string(this->directory.Endpoints().CompleteRevision())}});
+  this->source->SetMode(mode);
+}
+
+void ProxyNode::FollowLocalEntry(bool is_own_word) {
+  if (!this->source) {
+    return;
+  }
+  auto listed = this->fleet.EntryAt(*this->settings.backend_server);
+  if (listed && listed->service != this->settings.service) {
+    listed.reset();
+  }
+  auto entry = this->local_entry.Take(std::move(listed), is_own_word);
+  this->directory.SetOwnEntryInDoubt(this->local_entry.IsInDoubt());
+  this->source->WatchLocalEndpoint(entry ? entry->id : "");
+  this->SetLocalEntry(std::move(entry));
+}
+
+void ProxyNode::SetLocalEntry(std::optional<membership::EndpointEntry> entry) {
+  const auto& known = this->gate.Entry();
+  const bool is_new = entry && (!known || known->id != entry->id ||
+                                known->started_at != entry->started_at ||
+                                known->leaving != entry->leaving);
+  if (is_new) {
+    Log(LogEvent::kBackendListed,
+        {{"instance", entry->id},
+         {"state", entry->leaving ? "leaving" : "ready"},
+         {"slots", std::to_string(entry->slots)}});
+  } else if (!entry && known) {
+    Log(LogEvent::kBackendUnlisted, {{"instance", known->id}});
+  }
+  const bool other_life =
+      entry && known &&
+      (known->id != entry->id || known->started_at != entry->started_at);
+  if (other_life) {
+    this->pool->CloseIdle();
+  }
+  const bool changes = is_new || entry.has_value() != known.has_value();
+  this->gate.SetEntry(this->Now(), std::move(entry));
+  if (changes) {
+    this->TellOwnLoad();
+  } else {
+    this->TakeOwnLoad();
+  }
+}
+
+void ProxyNode::OnConfigurationUnreadable(std::string why) {
+  Log(LogEvent::kConfigurationRefused, {{"why", why}});
+}
+
+void ProxyNode::OnPlatformReached(bool reached, std::string why) {
+  this->directory.SetReached(this->Now(), reached);
+  if (this->platform_reached == reached) {
+    return;
+  }
+  this->platform_reached = reached;
+  Log(reached ? LogEvent::kPlatformReached : LogEvent::kPlatformUnreachable,
+      {{"why", why}});
+}
+
+}  // namespace agaterun::proxy
--- a/tests/node/frame_fuzz_test.cc
+++ b/tests/node/frame_fuzz_test.cc
@@ -49,6 +49,21 @@
   Again again;
 };
 
+decision::Heartbeat FullHeartbeat() {
+  decision::RouteDemand demand{.route = "open"};
+  demand.thousandths[4] = 700;
+  demand.thousandths[11] = 1;
+  return {.convicted = {{1, 1s}, {2, 2s}},
+          .platform_age = 300ms,
+          .demand = {demand},
+          .sums = {{.failure_domain = "a",
+                    .age = 20ms,
+                    .nodes = 3,
+                    .routes = {demand}}},
+          .crashes = {{.id = 5, .fingerprints = {6}}},
+          .reading = decision::PlatformReading::kFollows};
+}
+
 decision::VisitRequest FullVisit() {
   decision::VisitRequest visit;
   visit.attempt = {.origin = {.ip = 1, .port = 2}, .incarnation = 3, .call = 4};
@@ -93,8 +108,7 @@
                        [](const ReplyMessage& message) {
                          return EncodeReply(message.reply, message.answer);
                        })},
-      {FrameKind::kHeartbeat,
-       PayloadOf(EncodeHeartbeat({.convicted = {{1, 1s}, {2, 2s}}})),
+      {FrameKind::kHeartbeat, PayloadOf(EncodeHeartbeat(FullHeartbeat())),
        DecodeAndEncode(DecodeHeartbeat, EncodeHeartbeat)},
       {FrameKind::kTicketItems,
        PayloadOf(EncodeTicketItems({{"a", 1, "b"}, {"c", 2, "d"}})),
@@ -185,6 +199,26 @@
   }
 }
 
+// An empty list of numbers inside a message is no fault.
+BOOST_AUTO_TEST_CASE(AnEmptyListOfNumbersIsRead) {
+  const auto payload = PayloadOf(EncodeHeartbeat({.crashes = {{.id = 5}}}));
+  const auto heartbeat = DecodeHeartbeat(payload);
+  BOOST_TEST_REQUIRE(heartbeat.has_value());
+  BOOST_TEST(heartbeat->crashes.at(0).fingerprints.empty());
+}
+
+// Ages are subtracted from instants, which must not overflow.
+BOOST_AUTO_TEST_CASE(AgesThatNoNodeTellsAreRefused) {
+  const auto decode = [](const decision::Heartbeat& heartbeat) {
+    return DecodeHeartbeat(PayloadOf(EncodeHeartbeat(heartbeat))).has_value();
+  };
+  BOOST_TEST(decode({}));
+  BOOST_TEST(!decode({.platform_age = -1s}));
+  BOOST_TEST(!decode({.sums = {{.age = -1s}}}));
+  BOOST_TEST(!decode({.sums = {{.age = Duration::max()}}}));
+  BOOST_TEST(!decode({.reading = static_cast<decision::PlatformReading>(9)}));
+}
+
 BOOST_AUTO_TEST_CASE(DamagedStreamsGiveNoDamagedFrame) {
   SeededRandom random(kSeed + 1);
   for (const auto& codec : AllCodecs()) {
