--- a/libraries/admission/fleet_demand.h
+++ b/libraries/admission/fleet_demand.h
@@ -34,7 +34,7 @@
                 NodeAddress node,
                 std::vector<decision::RouteDemand> demand);
   // A node told a sum over a failure domain, or over all but the own one.
-  // Sums of `own_domain` that cover less than is known here change nothing.
+  // One of `own_domain` counts while it covers more nodes than were heard here.
   void TakeSum(Instant now,
                const std::string& own_domain,
                const decision::DemandSum& sum);
