--- a/libraries/admission/fleet_demand.cc
+++ b/libraries/admission/fleet_demand.cc
@@ -89,35 +89,33 @@
       [&](const auto& item) { return IsFresh(now, item.second.told); }));
 }
 
+Demand FleetDemand::HeardTotal(Instant now, const Demand& own) const {
+  Demand total = own;
+  for (const auto& [node, part] : this->parts) {
+    if (IsFresh(now, part.told)) {
+      Add(total, part.demand);
+    }
+  }
+  return total;
+}
+
 Demand FleetDemand::NearTotal(Instant now, const Demand& own) const {
-  Demand total;
   // In a large domain a node hears a part of the others; a speaker hears all.
   if (IsFresh(now, this->near.made) &&
       static_cast<int>(this->near.sum.nodes) > this->FreshParts(now) + 1) {
+    Demand total;
     Add(total, this->near.sum.routes);
     return total;
   }
-  total = own;
-  for (const auto& [node, part] : this->parts) {
-    if (IsFresh(now, part.told)) {
-      Add(total, part.demand);
-    }
-  }
-  return total;
+  return this->HeardTotal(now, own);
 }
 
 DemandSum FleetDemand::OwnDomain(Instant now,
                                  const std::string& own_domain,
                                  const Demand& own) const {
-  Demand total = own;
-  for (const auto& [node, part] : this->parts) {
-    if (IsFresh(now, part.told)) {
-      Add(total, part.demand);
-    }
-  }
   return {.failure_domain = own_domain,
           .nodes = static_cast<std::uint32_t>(this->FreshParts(now)) + 1,
-          .routes = ToldDemand(total)};
+          .routes = ToldDemand(this->HeardTotal(now, own))};
 }
 
 DemandSum FleetDemand::NearSum(Instant now) const {
--- a/libraries/admission/fleet_demand.h
+++ b/libraries/admission/fleet_demand.h
@@ -64,6 +64,9 @@
   // The sum with its age; of no nodes when it is too old.
   static decision::DemandSum Held(Instant now, const Sum& held);
   int FreshParts(Instant now) const;
+  // This node's part and those that others told.
+  Demand HeardTotal(Instant now, const Demand& own) const;
+  // Of the failure domain, by whichever account covers more nodes.
   Demand NearTotal(Instant now, const Demand& own) const;
   // The youngest account of other failure domains: the speakers' own words
   // when there are any, or what another node made of them.
