Calls: A late word on the old entry leaves the renewed one in use

Their logs: 412 old entry, 412 new entry, 414 other-instance 1.5 ms later. A request had left under the old entry; the backend server's 421 came after the new entry was known, and the gate took it for a word on that one: the entry that lives was noted as ended and never believed again. Change: a visit remembers the instance that it was sent to; only that one is given up.

--- a/libraries/calls/visit_gate.cc
+++ b/libraries/calls/visit_gate.cc
@@ -174,6 +174,7 @@
   }
   visit.running = true;
   visit.started = now;
+  visit.instance = this->entry->id;
   this->by_request_id[visit.request_id] = number;
   this->queue.Started();
   this->started_visits += 1;
@@ -182,7 +183,7 @@
     this->nested_calls /= 2;
   }
   this->output.StartExchange(number, visit.http, visit.request.idempotent,
-                             this->entry->id, visit.deadline - now);
+                             visit.instance, visit.deadline - now);
 }
 
 void VisitGate::Pump(Instant now) {
@@ -332,8 +333,11 @@
       this->queue.Released();
       this->Reply(now, visit, Outcome::kNotRun, Reason::kBackendDown, false,
                   nullptr);
-      this->entry.reset();
-      this->output.OnOtherInstance();
+      // The entry may have been renewed while the request was on its way.
+      if (this->entry && this->entry->id == visit.instance) {
+        this->entry.reset();
+        this->output.OnOtherInstance();
+      }
       return;
     case AnswerClass::kInvalid:
       this->NoteResult(now, true);
--- a/libraries/calls/visit_gate.h
+++ b/libraries/calls/visit_gate.h
@@ -132,6 +132,7 @@
     Instant started{};
     bool running = false;
     bool replied = false;
+    std::string instance;  // That it was sent to.
     std::string request_id;
     std::vector<decision::ServiceCost> costs;  // Of its calls.
   };
--- a/tests/calls/visit_gate_test.cc
+++ b/tests/calls/visit_gate_test.cc
@@ -198,6 +198,23 @@
   BOOST_TEST(!this->gate.Load(this->now).backend_up);
 }
 
+// Pattern: all hosts come back at once, and a request was on its way under the
+// old entry when the new one was heard of. The refusal tells of the old one.
+BOOST_FIXTURE_TEST_CASE(ALateWordOnTheOldEntryLeavesTheNewOneInUse, Fixture) {
+  this->Arrive(1);
+  auto renewed = this->Entry();
+  renewed.id = "i-2";
+  renewed.started_at = 9;
+  this->gate.SetEntry(this->now, renewed);
+  this->EndFirst(ExchangeEnd::kAnswered, AnswerWith(421, {"Instance"}));
+  BOOST_TEST((this->output.replies.at(1).outcome == Outcome::kNotRun));
+  BOOST_TEST(this->output.other_instances == 0);
+  BOOST_TEST(this->gate.Load(this->now).backend_up);
+  this->Arrive(2);
+  BOOST_TEST(this->output.started.size() == 1U);
+  BOOST_TEST(this->output.instance == "i-2");
+}
+
 BOOST_FIXTURE_TEST_CASE(ADeadlineThatPassedIsNoFailureOfTheServer, Fixture) {
   for (decision::CallId call = 1; call <= 20; ++call) {
     this->Arrive(call);
