Admission, routing: Compare the speed of endpoints on equal work

Cause: an endpoint's cost was the mean time of whatever ran there. One that got a few requests of 640 ms looked slow to calls of 40 ms, which all went to another, across failure domains, and stayed there. Nothing told that a backend server had turned slow before its requests ended. Change: each gate learns the mean time of each route and tells the busiest six to nodes of its service in its heartbeats (8 bytes each); slowness is its own time over the mean of those that told, weighted by what ran lately. What runs now for longer than is usual counts at once; one that failed early does not count. Routing multiplies the service's usual time by it. The wait at a gate is computed from the work that is queued, by route. Ruled out: references learned by the origins, which by nearness hear of one endpoint alone, so that a slow one would become the reference.

--- a/libraries/admission/slot_queue.cc
+++ b/libraries/admission/slot_queue.cc
@@ -40,10 +40,14 @@
   }
   const auto end =
       this->queue.upper_bound(Place{.rank = rank, .serial = ~std::uint64_t{0}});
-  const auto before = std::distance(this->queue.begin(), end);
+  Duration ahead{};
+  for (auto entry = this->queue.begin(); entry != end; ++entry) {
+    const auto work = entry->second.work;
+    ahead += work > Duration{} ? work : this->service_time;
+  }
   const int over = std::max(0, this->running - this->limit);
   // Slots free up one after the other, evenly over a request's time.
-  return this->service_time * (before + 1 + over) / this->limit;
+  return (ahead + this->service_time * (1 + over)) / this->limit;
 }
 
 void SlotQueue::Push(const Waiting& waiting) {
--- a/libraries/admission/slot_queue.h
+++ b/libraries/admission/slot_queue.h
@@ -22,6 +22,7 @@
     Id id = 0;
     int rank = 0;  // Smaller goes first.
     Instant latest_start{};
+    Duration work{};  // Expected time in its slot; zero when not known.
   };
 
   // Requests that may run at once; at least 1.
--- a/libraries/calls/visit_gate.cc
+++ b/libraries/calls/visit_gate.cc
@@ -65,6 +65,13 @@
 
 }  // namespace
 
+void VisitGate::SetService(std::string service) {
+  if (service != this->options.service) {
+    this->times.Clear();
+  }
+  this->options.service = std::move(service);
+}
+
 void VisitGate::SetEntry(Instant now,
                          std::optional<membership::EndpointEntry> new_entry) {
   this->entry = std::move(new_entry);
@@ -120,7 +127,8 @@
                 .request = request,
                 .http = std::move(http),
                 .arrived = now,
-                .deadline = now + request.remaining};
+                .deadline = now + request.remaining,
+                .route = admission::WorkTimes::IdOf(request.route)};
   if (const auto* id =
           FindHeader(arrived.http->headers, this->dialect.request_id);
       id != nullptr) {
@@ -148,8 +156,10 @@
     this->Refuse(now, number, Reason::kOverloaded);
     return;
   }
-  this->queue.Push(
-      {.id = number, .rank = rank, .latest_start = now + request.patience});
+  this->queue.Push({.id = number,
+                    .rank = rank,
+                    .latest_start = now + request.patience,
+                    .work = this->times.Own(this->visits.at(number).route)});
 }
 
 void VisitGate::AnswerOffer(Instant now,
@@ -299,6 +309,7 @@
   }
   this->output.AbortExchange(number);
   this->queue.Ended(now - visit.started);
+  this->times.LearnAtLeast(now, visit.route, now - visit.started);
   this->last_result = now;
   this->End(number);
   this->Pump(now);
@@ -320,6 +331,12 @@
         this->NoteResult(now, answer->status >= http_status::kServerErrors);
       }
       this->queue.Ended(now - visit.started);
+      // One that failed early says nothing of the time that its work takes.
+      if (answer->status < http_status::kServerErrors) {
+        this->times.Learn(now, visit.route, now - visit.started);
+      } else {
+        this->times.LearnAtLeast(now, visit.route, now - visit.started);
+      }
       this->Reply(now, visit, Outcome::kCompleted, Reason::kNone, true,
                   std::move(answer), this->CostsOf(now, visit));
       return;
@@ -397,13 +414,28 @@
     const auto& visit = this->visits.at(number);
     this->output.AbortExchange(number);
     this->queue.Ended(now - visit.started);
+    this->times.LearnAtLeast(now, visit.route, now - visit.started);
     this->Reply(now, visit, Outcome::kUnknown, Reason::kDeadlineExceeded, true,
                 nullptr);
     this->End(number);
   }
+  this->NoteRunning(now);
   this->Pump(now);
 }
 
+void VisitGate::NoteRunning(Instant now) {
+  admission::WorkTimes::Running running;
+  for (const auto& [number, visit] : this->visits) {
+    const auto usual =
+        visit.running ? this->times.Usual(now, visit.route) : Duration{};
+    if (usual > Duration{}) {
+      running.taken += now - visit.started;
+      running.usual += usual;
+    }
+  }
+  this->times.SetRunning(running);
+}
+
 std::optional<Instant> VisitGate::NextWake() const {
   return this->queue.NextExpiry();
 }
@@ -420,6 +452,7 @@
       .leaving = this->stopping || (this->entry && this->entry->leaving),
       .backend_up = this->entry.has_value() && this->reachable,
       .service_time = is_known ? this->queue.ServiceTime() : Duration{},
+      .slowness = this->times.Slowness(now).value_or(0),
       .failure_share = this->failure_share * fresh};
   if (this->started_visits > 0) {
     load.calls_per_request = this->nested_calls / this->started_visits;
--- a/libraries/calls/visit_gate.h
+++ b/libraries/calls/visit_gate.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "libraries/admission/slot_queue.h"
+#include "libraries/admission/work_times.h"
 #include "libraries/base/http_message.h"
 #include "libraries/base/log_event.h"
 #include "libraries/calls/dialect.h"
@@ -73,9 +74,7 @@
         crashes(crashes),
         output(output) {}
 
-  void SetService(std::string service) {
-    this->options.service = std::move(service);
-  }
+  void SetService(std::string service);
   const std::string& Service() const { return this->options.service; }
 
   // The backend server's entry in the platform's list; nothing while none is
@@ -120,6 +119,8 @@
   void CountNestedCall() { this->nested_calls += 1; }
 
   decision::LoadReport Load(Instant now) const;
+  // How long requests take here and at other endpoints of the service.
+  admission::WorkTimes& Times() { return this->times; }
   std::size_t VisitsInFlight() const { return this->visits.size(); }
 
  private:
@@ -132,6 +133,7 @@
     Instant started{};
     bool running = false;
     bool replied = false;
+    admission::WorkTimes::RouteId route = 0;
     std::string instance;  // That it was sent to.
     std::string request_id;
     std::vector<decision::ServiceCost> costs;  // Of its calls.
@@ -158,6 +160,7 @@
   std::vector<decision::ServiceCost> CostsOf(Instant now,
                                              const Visit& visit) const;
   void NoteResult(Instant now, bool failed);
+  void NoteRunning(Instant now);
 
   Options options;
   const Dialect& dialect;
@@ -167,6 +170,7 @@
   bool reachable = true;
   bool stopping = false;
   admission::SlotQueue queue;
+  admission::WorkTimes times;
   VisitNumber next_number = 1;
   std::unordered_map<VisitNumber, Visit> visits;
   std::unordered_map<decision::AttemptId, VisitNumber> by_attempt;
--- a/libraries/decision/events.h
+++ b/libraries/decision/events.h
@@ -132,6 +132,8 @@
   // What the callers of the sender ask for.
   std::vector<RouteDemand> demand;
   std::vector<DemandSum> sums;
+  // What the sender's backend server takes, told to others of its service.
+  std::vector<RouteTime> route_times;
   std::vector<ToldCrash> crashes;
   bool wants_answer = false;  // By a heartbeat, at once.
   // What the sender knows of the platform's endpoints: equal for the same
@@ -145,8 +147,8 @@
   void serialize(Archive& archive) {
     archive(this->from, this->incarnation, this->state_digest, this->load,
             this->convicted, this->platform_age, this->leaving_hints,
-            this->demand, this->sums, this->crashes, this->wants_answer,
-            this->directory_digest, this->directory_revision, this->reading);
+            this->demand, this->sums, this->route_times, this->crashes,
+            this->wants_answer, this->directory_digest, this->directory_revision, this->reading);
   }
 };
 
--- a/libraries/decision/messages.h
+++ b/libraries/decision/messages.h
@@ -63,6 +63,9 @@
   bool backend_up = true;
   // Mean time of a request at the backend server; zero when not known.
   Duration service_time{};
+  // Its time over what the endpoints of its service take for the same work;
+  // zero when not known.
+  double slowness = 0;
   // Of the answers, lately: failures of the backend server itself.
   double failure_share = 0;
   // Calls that the backend server sends while it runs one request, mean.
@@ -74,17 +77,31 @@
     constexpr double kParts = 1e6;
     // Rounded, so that what was read is written again as it came.
     constexpr double kHalf = 0.5;
-    auto failing =
-        static_cast<std::uint32_t>(this->failure_share * kParts + kHalf);
-    auto calls =
-        static_cast<std::uint32_t>(this->calls_per_request * kParts + kHalf);
+    const auto in_parts = [](double value) {
+      return static_cast<std::uint32_t>(value * kParts + kHalf);
+    };
+    auto slow = in_parts(this->slowness);
+    auto failing = in_parts(this->failure_share);
+    auto calls = in_parts(this->calls_per_request);
     archive(this->running, this->queued, this->limit, this->leaving,
-            this->backend_up, this->service_time, failing, calls);
+            this->backend_up, this->service_time, slow, failing, calls);
+    this->slowness = slow / kParts;
     this->failure_share = failing / kParts;
     this->calls_per_request = calls / kParts;
   }
 };
 
+// Mean time that an endpoint takes for the requests of a route.
+struct RouteTime {
+  std::uint32_t route = 0;  // Hash of its name.
+  std::uint32_t microseconds = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(this->route, this->microseconds);
+  }
+};
+
 // Time for which a request held slots of one service, in all calls below it.
 struct ServiceCost {
   std::string service;
--- a/libraries/proxy/proxy_node_fleet.cc
+++ b/libraries/proxy/proxy_node_fleet.cc
@@ -39,6 +39,11 @@
   if (this->IsNear(heartbeat.from)) {
     others.TakePart(this->Now(), heartbeat.from, heartbeat.demand);
   }
+  const auto* sender = this->fleet.Find(heartbeat.from);
+  if (sender != nullptr && sender->service == this->gate.Service()) {
+    this->gate.Times().TakeTold(this->Now(), heartbeat.from,
+                                heartbeat.route_times);
+  }
   for (const auto& sum : heartbeat.sums) {
     others.TakeSum(this->Now(), this->fleet.OwnDomain(), sum);
   }
@@ -128,6 +133,10 @@
                                 .crashes = this->crashes.ToTell(now),
                                 .wants_answer = target.wants_answer};
   this->directory.Tell(now, heartbeat);
+  const auto* receiver = this->fleet.Find(target.node);
+  if (receiver != nullptr && receiver->service == this->gate.Service()) {
+    heartbeat.route_times = this->gate.Times().ToTell(now);
+  }
   auto& admission = this->origin.Admission();
   const auto& domain = this->fleet.OwnDomain();
   switch (target.kind) {
--- a/libraries/routing/endpoint_chooser.cc
+++ b/libraries/routing/endpoint_chooser.cc
@@ -169,8 +169,8 @@
                                const FleetNode& node,
                                const Usual& usual) const {
   double service = usual.service_seconds;
-  if (node.load_told && node.load.service_time > Duration{}) {
-    service = ToSeconds(node.load.service_time);
+  if (node.load_told && node.load.slowness > 0) {
+    service *= node.load.slowness;
   } else if (now < node.cold_until) {
     service *= kColdFactor;
   }
--- a/tests/admission/slot_queue_test.cc
+++ b/tests/admission/slot_queue_test.cc
@@ -56,6 +56,18 @@
   BOOST_TEST((queue.ExpectedWait(2) == 60ms));
 }
 
+// Pattern: a queue of short requests at an endpoint whose mean is that of long
+// ones. Refusing by the mean would leave its slots idle.
+BOOST_AUTO_TEST_CASE(ExpectsWaitsFromTheWorkThatIsQueued) {
+  auto queue = FullQueue(10);
+  queue.Ended(600ms);
+  queue.Started();
+  for (SlotQueue::Id id = 1; id <= 10; ++id) {
+    queue.Push({.id = id, .rank = 2, .latest_start = 1s, .work = 40ms});
+  }
+  BOOST_TEST((queue.ExpectedWait(2) == 100ms));
+}
+
 BOOST_AUTO_TEST_CASE(GivesBackWhoWaitedTooLong) {
   auto queue = FullQueue(1);
   queue.Push({.id = 1, .rank = 0, .latest_start = 2s});
--- /dev/null
+++ b/tests/admission/work_times_test.cc
@@ -0,0 +1,125 @@
+#include "libraries/admission/work_times.h"
+
+#include <boost/test/unit_test.hpp>
+#include <vector>
+
+namespace agaterun::admission {
+
+BOOST_AUTO_TEST_SUITE(WorkTimesTest)
+
+const auto kShort = WorkTimes::IdOf("short");
+const auto kLong = WorkTimes::IdOf("long");
+
+NodeAddress NodeAt(std::uint32_t index) {
+  return {.ip = 0x0a010000 + index, .port = 7300};
+}
+
+// Endpoints of one service that tell each other their times.
+struct Fixture {
+  // Each runs the given numbers of requests in a second.
+  void Run(std::size_t endpoint,
+           int short_requests,
+           int long_requests,
+           double slowness = 1) {
+    const auto taken = [&](Duration usual) {
+      return std::chrono::duration_cast<Duration>(usual * slowness);
+    };
+    auto& times = this->endpoints[endpoint];
+    for (int request = 0; request < short_requests; ++request) {
+      times.Learn(this->now, kShort, taken(40ms));
+    }
+    for (int request = 0; request < long_requests; ++request) {
+      times.Learn(this->now, kLong, taken(640ms));
+    }
+  }
+
+  void TellAll() {
+    for (std::size_t from = 0; from < this->endpoints.size(); ++from) {
+      for (std::size_t to = 0; to < this->endpoints.size(); ++to) {
+        if (from != to) {
+          this->endpoints[to].TakeTold(
+              this->now, NodeAt(static_cast<std::uint32_t>(from)),
+              this->endpoints[from].ToTell(this->now));
+        }
+      }
+    }
+  }
+
+  double SlownessOf(std::size_t endpoint) {
+    return this->endpoints[endpoint].Slowness(this->now).value_or(0);
+  }
+
+  Instant now = 100s;
+  std::vector<WorkTimes> endpoints{3};
+};
+
+// Pattern: two routes of 40 and 640 ms share a service. Who got more of the
+// long one is not slower than the others.
+BOOST_FIXTURE_TEST_CASE(OtherWorkDoesNotMakeAnEndpointSlow, Fixture) {
+  this->Run(0, 80, 1);
+  this->Run(1, 10, 20);
+  this->Run(2, 0, 20);
+  this->TellAll();
+  for (std::size_t endpoint = 0; endpoint < 3; ++endpoint) {
+    BOOST_TEST(this->SlownessOf(endpoint) > 0.95);
+    BOOST_TEST(this->SlownessOf(endpoint) < 1.05);
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(AnEndpointThreeTimesSlowerIsKnownAsThat, Fixture) {
+  this->Run(0, 40, 5);
+  this->Run(1, 40, 5, 3);
+  this->Run(2, 40, 5);
+  this->TellAll();
+  const double ratio = this->SlownessOf(1) / this->SlownessOf(0);
+  BOOST_TEST(ratio > 2.5);
+  BOOST_TEST(ratio < 3.5);
+}
+
+// Pattern: a backend server turns slow and nothing that it began has ended
+// yet.
+BOOST_FIXTURE_TEST_CASE(WhatRunsLongerThanUsualTellsBeforeItEnds, Fixture) {
+  this->Run(0, 40, 0);
+  this->Run(1, 40, 0);
+  this->TellAll();
+  this->now += 400ms;
+  this->endpoints[0].SetRunning({.taken = 10 * 200ms, .usual = 10 * 40ms});
+  BOOST_TEST(this->SlownessOf(0) >= 4);
+  BOOST_TEST(this->SlownessOf(1) < 1.1);
+}
+
+BOOST_FIXTURE_TEST_CASE(ARequestBrokenOffEarlyIsNoFastOne, Fixture) {
+  this->Run(0, 20, 0);
+  this->endpoints[0].LearnAtLeast(this->now, kShort, 5ms);
+  BOOST_TEST((this->endpoints[0].Own(kShort) == 40ms));
+  this->endpoints[0].LearnAtLeast(this->now, kShort, 840ms);
+  BOOST_TEST((this->endpoints[0].Own(kShort) > 60ms));
+}
+
+// Otherwise an endpoint that once was slow gets no work to show that it no
+// longer is.
+BOOST_FIXTURE_TEST_CASE(TheNextRequestAfterAPauseDecides, Fixture) {
+  this->Run(0, 40, 0, 10);
+  this->Run(1, 40, 0);
+  this->TellAll();
+  BOOST_TEST(this->SlownessOf(0) > 1.5);
+  this->now += 10s;
+  BOOST_TEST(!this->endpoints[0].Slowness(this->now).has_value());
+  this->Run(0, 1, 0);
+  this->Run(1, 1, 0);
+  this->TellAll();
+  BOOST_TEST(this->SlownessOf(0) < 1.1);
+}
+
+BOOST_FIXTURE_TEST_CASE(KnowsNothingOfAnotherService, Fixture) {
+  this->Run(0, 40, 0);
+  this->Run(1, 40, 0);
+  this->TellAll();
+  this->endpoints[0].Clear();
+  BOOST_TEST((this->endpoints[0].Usual(this->now, kShort) == 0ms));
+  BOOST_TEST(!this->endpoints[0].Slowness(this->now).has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace agaterun::admission
