Routing: Large answers come from nearby; bytes between nodes counted by kind and domain

Answers of 5 and 6 KB go to endpoints that are faster by their make, though their callers have time. Change: each origin learns the size of a route's answers; the way from another domain counts 20 ms a kilobyte, at most 0.08 of the route's target, nothing where the near endpoint is full. Test: LargeAnswersComeFromNearby.

--- a/libraries/calls/call_origin.cc
+++ b/libraries/calls/call_origin.cc
@@ -220,9 +220,19 @@
                     std::max(Duration{}, call.deadline - now));
 }
 
+std::optional<NodeAddress> CallOrigin::Choose(Instant now,
+                                              const Call& call,
+                                              bool needs_room) {
+  return this->chooser.Choose(
+      now, {.service = call.service,
+            .excluded = call.tried,
+            .needs_room = needs_room,
+            .answer_bytes = this->answer_sizes.Of(call.route->name),
+            .target_latency = call.route->target_latency});
+}
+
 void CallOrigin::Dispatch(Instant now, Call& call, bool needs_room) {
-  const auto node =
-      this->chooser.Choose(now, call.service, call.tried, needs_room);
+  const auto node = this->Choose(now, call, needs_room);
   if (!node) {
     if (call.reason == Reason::kNone) {
       call.reason = Reason::kUnreachable;
@@ -319,6 +329,9 @@
     this->output.NestedCallEnded(call->parent->visit, reply.costs);
   }
   if (reply.outcome == Outcome::kCompleted && answer != nullptr) {
+    if (answer->status < http_status::kServerErrors) {
+      this->answer_sizes.Learn(call->route->name, answer->body.size());
+    }
     if (!call->parent) {
       this->admission.Learn(call->route->name, reply.costs, now - call->arrived,
                             answer->status < http_status::kServerErrors);
@@ -328,10 +341,9 @@
     if (answer->status >= http_status::kServerErrors &&
         call->route->IsIdempotent() && this->RepeatCost(now, *call) <= 1) {
       call->tried.push_back(from);
-      const auto other =
-          this->MayRepeat(now, *call, 1)
-              ? this->chooser.Choose(now, call->service, call->tried, false)
-              : std::nullopt;
+      const auto other = this->MayRepeat(now, *call, 1)
+                             ? this->Choose(now, *call, /*needs_room=*/false)
+                             : std::nullopt;
       if (other) {
         call->may_have_run = true;
         this->SendTo(now, *call, *other);
--- a/libraries/calls/call_origin.h
+++ b/libraries/calls/call_origin.h
@@ -18,6 +18,7 @@
 #include "libraries/membership/fleet.h"
 #include "libraries/retries/crash_ledger.h"
 #include "libraries/retries/repeat_budget.h"
+#include "libraries/routing/answer_sizes.h"
 #include "libraries/routing/endpoint_chooser.h"
 #include "libraries/routing/route_table.h"
 #include "libraries/routing/share_picker.h"
@@ -153,7 +154,11 @@
                  const HttpRequest& request,
                  int status,
                  decision::Reason reason);
-  // Sends the call to a node that it has not been to, or ends it.
+  // A node that the call has not been to.
+  std::optional<NodeAddress> Choose(Instant now,
+                                    const Call& call,
+                                    bool needs_room);
+  // Sends the call to such a node, or ends it.
   void Dispatch(Instant now, Call& call, bool needs_room);
   // Sends the call, or first an offer when it must not run twice and the node
   // was not heard just now.
@@ -189,6 +194,7 @@
   std::shared_ptr<const routing::RouteTable> routes;
   routing::SharePicker shares;
   routing::EndpointChooser chooser;
+  routing::AnswerSizes answer_sizes;
   retries::RepeatBudget budget;
   admission::EntryAdmission admission;
   bool stopping = false;
--- a/libraries/node/heartbeat_socket.cc
+++ b/libraries/node/heartbeat_socket.cc
@@ -106,7 +106,7 @@
   if (heard_by == nullptr) {
     return;
   }
-  heard_by->CountDatagram(false, bytes);
+  heard_by->CountDatagramReceived(bytes);
   auto heartbeat = this->Read(std::string_view(this->buffer.data(), bytes));
   if (!heartbeat) {
     heard_by->OnDatagramRejected(ToNodeAddress(this->sender).ToString(),
@@ -158,7 +158,7 @@
     std::error_code error;
     self->socket.send_to(asio::buffer(bytes), ToEndpoint(to), 0, error);
     if (const auto owner = self->owner.lock(); owner != nullptr && !error) {
-      owner->CountDatagram(true, bytes.size());
+      owner->CountDatagramSent(to, bytes.size());
     }
   });
 }
--- a/libraries/node/heartbeat_socket.h
+++ b/libraries/node/heartbeat_socket.h
@@ -23,7 +23,8 @@
   virtual void OnHeartbeatReceived(decision::Heartbeat heartbeat) = 0;
   virtual void OnDatagramRejected(const std::string& sender,
                                   const std::string& reason) = 0;
-  virtual void CountDatagram(bool sent, std::size_t bytes) = 0;
+  virtual void CountDatagramSent(NodeAddress to, std::size_t bytes) = 0;
+  virtual void CountDatagramReceived(std::size_t bytes) = 0;
 };
 
 // Heartbeats over UDP, one to a datagram.
--- a/libraries/node/node_links.cc
+++ b/libraries/node/node_links.cc
@@ -74,6 +74,11 @@
   return this->implementation->ConnectionCount();
 }
 
+SentBytes::ByKind NodeLinks::Sent(
+    const std::function<bool(NodeAddress)>& selected) const {
+  return this->implementation->Sent().Sum(selected);
+}
+
 NodeLinksCounters NodeLinks::Counters() const {
   return this->implementation->Counters();
 }
--- a/libraries/node/node_links.h
+++ b/libraries/node/node_links.h
@@ -13,6 +13,7 @@
 #include "libraries/base/node_address.h"
 #include "libraries/base/time.h"
 #include "libraries/decision/events.h"
+#include "libraries/node/sent_bytes.h"
 
 namespace agaterun::node {
 
@@ -105,6 +106,9 @@
   std::size_t ConnectionCount() const;
 
   NodeLinksCounters Counters() const;
+  // What went to the nodes for which `selected` is true.
+  SentBytes::ByKind Sent(
+      const std::function<bool(NodeAddress)>& selected) const;
 
  private:
   class Implementation;
--- a/libraries/node/node_links_frames.cc
+++ b/libraries/node/node_links_frames.cc
@@ -223,13 +223,22 @@
   this->log.Rejected(LogEvent::kFrameRejected, sender, reason);
 }
 
-void NodeLinks::Implementation::CountDatagram(bool sent, std::size_t bytes) {
-  if (sent) {
-    this->bytes_sent += bytes;
-    ++this->heartbeats_sent;
-  } else {
-    this->bytes_received += bytes;
-  }
+void NodeLinks::Implementation::CountDatagramSent(NodeAddress to,
+                                                  std::size_t bytes) {
+  this->bytes_sent += bytes;
+  ++this->heartbeats_sent;
+  this->sent.Add(to, FrameKind::kHeartbeat, bytes);
+}
+
+void NodeLinks::Implementation::CountDatagramReceived(std::size_t bytes) {
+  this->bytes_received += bytes;
+}
+
+void NodeLinks::Implementation::SendOn(Connection& connection,
+                                       NodeAddress to,
+                                       OutgoingFrame frame) {
+  this->sent.Add(to, frame.kind, frame.bytes.size());
+  connection.Send(std::move(frame));
 }
 
 bool NodeLinks::Implementation::IsWithinFrame(const OutgoingFrame& frame,
@@ -261,7 +270,7 @@
     this->LoseUnsent(visit.attempt);
     return;
   }
-  connection->Send(std::move(frame));
+  this->SendOn(*connection, to, std::move(frame));
 }
 
 void NodeLinks::Implementation::SendReply(NodeAddress to,
@@ -280,7 +289,7 @@
     without_answer.reason = decision::Reason::kLimitReached;
     frame = EncodeReply(without_answer, nullptr);
   }
-  connection->Send(std::move(frame));
+  this->SendOn(*connection, to, std::move(frame));
 }
 
 void NodeLinks::Implementation::SendPlain(NodeAddress to, OutgoingFrame frame) {
@@ -288,7 +297,7 @@
     return;
   }
   if (const auto connection = this->Outgoing(to); connection != nullptr) {
-    connection->Send(std::move(frame));
+    this->SendOn(*connection, to, std::move(frame));
   }
 }
 
--- a/libraries/node/node_links_implementation.h
+++ b/libraries/node/node_links_implementation.h
@@ -51,6 +51,7 @@
   void Abandon();
   std::size_t ConnectionCount() const;
   NodeLinksCounters Counters() const;
+  const SentBytes& Sent() const { return this->sent; }
 
   // ConnectionOwner:
   Result<void> OnFrame(Connection& connection,
@@ -71,7 +72,8 @@
   void OnHeartbeatReceived(decision::Heartbeat heartbeat) override;
   void OnDatagramRejected(const std::string& sender,
                           const std::string& reason) override;
-  void CountDatagram(bool sent, std::size_t bytes) override;
+  void CountDatagramSent(NodeAddress to, std::size_t bytes) override;
+  void CountDatagramReceived(std::size_t bytes) override;
 
  private:
   void Accept();
@@ -80,6 +82,7 @@
   void Sweep();
   bool IsAllowed(NodeAddress peer) const;
   bool IsWithinFrame(const OutgoingFrame& frame, NodeAddress to);
+  void SendOn(Connection& connection, NodeAddress to, OutgoingFrame frame);
   void LoseUnsent(const decision::AttemptId& attempt);
 
   // False when the links are closing or `connection` is one too many.
@@ -129,6 +132,7 @@
   bool closing = false;
   std::shared_ptr<const std::function<bool(NodeAddress)>> allowed;
 
+  SentBytes sent;
   std::atomic<std::uint64_t> state_digest{0};
   std::atomic<std::uint64_t> bytes_sent{0};
   std::atomic<std::uint64_t> bytes_received{0};
--- a/libraries/proxy/proxy_node.cc
+++ b/libraries/proxy/proxy_node.cc
@@ -5,6 +5,7 @@
 
 #include "libraries/base/log.h"
 #include "libraries/http/message_writer.h"
+#include "libraries/proxy/link_metrics.h"
 
 namespace agaterun::proxy {
 
@@ -118,10 +119,9 @@
       this->io,
       ProbeServer::Options{.listen = listen,
                            .probe_path = this->dialect.probe_path},
-      ProbeServer::Source{
-          .is_ready = [this] { return this->IsReady(); },
-          .metrics = [this] { return this->call_log.Metrics(); },
-          .state = [this] { return this->State().ToJson(); }});
+      ProbeServer::Source{.is_ready = [this] { return this->IsReady(); },
+                          .metrics = [this] { return this->Metrics(); },
+                          .state = [this] { return this->State().ToJson(); }});
 }
 
 void ProxyNode::SetSettings(const NodeSettings& new_settings) {
@@ -370,6 +370,13 @@
   }
 }
 
+std::string ProxyNode::Metrics() const {
+  return this->call_log.Metrics() +
+         LinkMetrics(
+             this->links->Sent([this](auto to) { return this->IsNear(to); }),
+             this->links->Sent([this](auto to) { return !this->IsNear(to); }));
+}
+
 NodeState ProxyNode::State() const {
   return {.configuration = this->spread.Version(),
           .endpoint_list = this->directory.Endpoints().CompleteRevision(),
--- a/libraries/proxy/proxy_node.h
+++ b/libraries/proxy/proxy_node.h
@@ -144,6 +144,7 @@
   Instant Now() const { return this->clock.Now(); }
   bool IsReady() const;
   NodeState State() const;
+  std::string Metrics() const;
   std::string RequestIdOf(const HttpRequest& request) const;
   // What is known of the endpoints has changed.
   void TakeEndpoints();
--- /dev/null
+++ b/libraries/routing/answer_sizes.cc
@@ -0,0 +1,29 @@
+#include "libraries/routing/answer_sizes.h"
+
+namespace agaterun::routing {
+
+namespace {
+
+// Weight of the latest answer in the mean.
+constexpr double kWeight = 0.1;
+
+constexpr std::size_t kMostRoutes = 4096;
+
+}  // namespace
+
+void AnswerSizes::Learn(std::string_view route, std::size_t bytes) {
+  if (this->means.size() >= kMostRoutes) {
+    this->means.clear();
+  }
+  const auto size = static_cast<double>(bytes);
+  const auto [entry, is_new] =
+      this->means.try_emplace(std::string(route), size);
+  entry->second += (size - entry->second) * kWeight;
+}
+
+double AnswerSizes::Of(std::string_view route) const {
+  const auto found = this->means.find(std::string(route));
+  return found == this->means.end() ? 0 : found->second;
+}
+
+}  // namespace agaterun::routing
--- a/libraries/routing/endpoint_chooser.cc
+++ b/libraries/routing/endpoint_chooser.cc
@@ -46,6 +46,11 @@
 constexpr double kOtherDomainSeconds = 0.015;
 constexpr double kOtherDomainParts = 0.35;
 
+// What bytes between failure domains cost, as time that a caller waits for an
+// answer from nearby, up to a part of its target.
+constexpr double kSecondsPerByte = 20e-6;
+constexpr double kNearnessOfTarget = 0.08;
+
 // Weight of the slots taken at a node, against the time of one request. Steep,
 // so that a node is left when it is nearly full and not before.
 constexpr double kFillWeight = 0.8;
@@ -97,6 +102,11 @@
   nodes.resize(count);
 }
 
+double TransferSeconds(const EndpointChooser::Query& query) {
+  return std::min(kSecondsPerByte * query.answer_bytes,
+                  kNearnessOfTarget * ToSeconds(query.target_latency));
+}
+
 }  // namespace
 
 bool EndpointChooser::MayUse(Instant now, const FleetNode& node) const {
@@ -190,6 +200,10 @@
   if (!this->IsNear(node)) {
     cost += kOtherDomainSeconds + kOtherDomainParts * usual.service_seconds;
   }
+  // Nobody waits for a slot nearby for the sake of bytes alone.
+  if (!this->IsNear(node) || ahead > 0) {
+    cost += usual.transfer_seconds;
+  }
   return cost;
 }
 
@@ -222,19 +236,17 @@
   return usable;
 }
 
-std::optional<NodeAddress> EndpointChooser::Choose(
-    Instant now,
-    std::string_view service,
-    std::span<const NodeAddress> excluded,
-    bool needs_room) {
-  const auto nodes = this->fleet.NodesOf(service);
+std::optional<NodeAddress> EndpointChooser::Choose(Instant now,
+                                                   const Query& query) {
+  const auto nodes = this->fleet.NodesOf(query.service);
   const std::vector<const FleetNode*> all(nodes.begin(), nodes.end());
-  const auto usual = this->UsualOf(now, all);
+  auto usual = this->UsualOf(now, all);
+  usual.transfer_seconds = TransferSeconds(query);
   const FleetNode* best = nullptr;
   double least = 0;
-  for (const auto* node :
-       this->Candidates(now, nodes, excluded,
-                        needs_room ? std::optional(usual.use) : std::nullopt)) {
+  for (const auto* node : this->Candidates(
+           now, nodes, query.excluded,
+           query.needs_room ? std::optional(usual.use) : std::nullopt)) {
     const double cost =
         this->CostOf(now, *node, usual) * (1 + kNoise * this->random.Unit());
     if (best == nullptr || cost < least) {
--- a/libraries/routing/endpoint_chooser.h
+++ b/libraries/routing/endpoint_chooser.h
@@ -27,12 +27,19 @@
                   RandomSource& random)
       : options(std::move(options)), fleet(fleet), random(random) {}
 
-  // Nothing when no node of the service may be used. `needs_room` leaves out
-  // those whose slots are taken.
-  std::optional<NodeAddress> Choose(Instant now,
-                                    std::string_view service,
-                                    std::span<const NodeAddress> excluded,
-                                    bool needs_room);
+  struct Query {
+    std::string_view service;
+    std::span<const NodeAddress> excluded;
+    // Leaves out nodes whose slots are taken.
+    bool needs_room = false;
+    // Of the answer, as far as is known.
+    double answer_bytes = 0;
+    // Within which the answer is wanted.
+    Duration target_latency{};
+  };
+
+  // Nothing when no node of the service may be used.
+  std::optional<NodeAddress> Choose(Instant now, const Query& query);
 
   // Slots of the service at nodes that may be used.
   double UsableSlots(Instant now, std::string_view service);
@@ -52,6 +59,8 @@
   struct Usual {
     double service_seconds = 0;
     double use = 0;  // Share of the slots that are taken.
+    // What the answer's way from another failure domain is worth.
+    double transfer_seconds = 0;
   };
   Usual UsualOf(Instant now,
                 std::span<const membership::FleetNode* const> nodes) const;
--- a/tests/routing/endpoint_chooser_test.cc
+++ b/tests/routing/endpoint_chooser_test.cc
@@ -38,7 +38,10 @@
     std::map<std::uint32_t, int> counts;
     for (int draw = 0; draw < count; ++draw) {
       const auto node =
-          this->chooser.Choose(this->now, "ledger", this->excluded, false);
+          this->chooser.Choose(this->now, {.service = "ledger",
+                                           .excluded = this->excluded,
+                                           .answer_bytes = this->bytes,
+                                           .target_latency = this->target});
       if (node) {
         counts[node->ip - NodeAt(0).ip] += 1;
         this->fleet.AttemptSent(this->now, *node);
@@ -55,6 +58,8 @@
                           this->fleet,
                           this->random};
   std::vector<NodeAddress> excluded;
+  double bytes = 0;
+  Duration target = 1s;
 };
 
 BOOST_FIXTURE_TEST_CASE(SpreadsRequestsOverAllWhenTheNearestFillsUp, Fixture) {
@@ -175,6 +180,30 @@
   BOOST_TEST(this->ChooseMany(10).at(1) == 10);
 }
 
+// Pattern: endpoints differ in speed by their make, and the answers of one
+// route are large. Those are taken from nearby while that has room and the
+// caller has time; small ones go where they are served soonest.
+BOOST_FIXTURE_TEST_CASE(LargeAnswersComeFromNearby, Fixture) {
+  const auto tell_all = [this](std::uint32_t running_nearby) {
+    for (std::uint32_t index = 1; index <= 3; ++index) {
+      this->Tell(index, {.running = index == 1 ? running_nearby : 4U,
+                         .limit = 20,
+                         .service_time = 100ms,
+                         .slowness = index == 1 ? 1.6 : 0.7});
+    }
+  };
+  tell_all(4);
+  BOOST_TEST(!this->ChooseMany(5).contains(1));
+  this->bytes = 5000;
+  tell_all(4);
+  BOOST_TEST(this->ChooseMany(5).at(1) == 5);
+  tell_all(20);
+  BOOST_TEST(!this->ChooseMany(5).contains(1));
+  this->target = 150ms;
+  tell_all(4);
+  BOOST_TEST(!this->ChooseMany(5).contains(1));
+}
+
 // Pattern: many origins choose among many endpoints by the same old reports,
 // in which one endpoint looks a little better than all others.
 BOOST_FIXTURE_TEST_CASE(ManyOriginsWithOldReportsDoNotChooseTheSame, Fixture) {
