Node: Whole numbers of variable size in messages between nodes

Change: numbers of four bytes and more are written seven bits to a byte, in one form only; the version of frames is 2. Tests: frame_archive_test. Two tables of hostile input built their case from the old version and the old size: 'other version' now takes the current one plus 1, 'longer than a datagram' larger numbers; the checks are as they were.

--- a/libraries/node/frame.h
+++ b/libraries/node/frame.h
@@ -37,7 +37,7 @@
     EnumName<FrameKind>{FrameKind::kClosing, "closing"},
 };
 
-inline constexpr std::uint8_t kFrameVersion = 1;
+inline constexpr std::uint8_t kFrameVersion = 2;
 
 // What stands before each payload, little endian:
 //   0 "agn"  3 version  4 kind  5 zeros (3)  8 payload bytes (4)
--- a/libraries/node/frame_archive.h
+++ b/libraries/node/frame_archive.h
@@ -10,6 +10,7 @@
 #include <concepts>
 #include <cstdint>
 #include <cstring>
+#include <limits>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -17,7 +18,18 @@
 
 namespace agaterun::node {
 
-// Appends values to a string: numbers little endian, sizes as 32 bits.
+// Whole numbers of four bytes and more are written seven bits to a byte, the
+// lowest first, with the top bit set on all bytes but the last; the ninth byte
+// of a long one holds eight bits. Most are small, and many are zero. Shorter
+// ones are written as they are, little endian; negative ones as their two's
+// complement.
+template <class Number>
+inline constexpr bool kHasVariableSize = sizeof(Number) >= 4;
+
+inline constexpr int kBitsPerByte = 7;
+inline constexpr std::size_t kMostNumberBytes = 9;
+
+// Appends values to a string.
 class FrameOutputArchive
     : public cereal::OutputArchive<FrameOutputArchive,
                                    cereal::AllowEmptyClassElision> {
@@ -32,6 +44,10 @@
   template <std::integral Number>
   void WriteNumber(Number number) {
     const auto raw = static_cast<std::make_unsigned_t<Number>>(number);
+    if constexpr (kHasVariableSize<Number>) {
+      this->WriteVariable(raw);
+      return;
+    }
     char encoded[sizeof(Number)];
     for (std::size_t index = 0; index < sizeof(Number); ++index) {
       encoded[index] = static_cast<char>(raw >> (8 * index));
@@ -40,6 +56,16 @@
   }
 
  private:
+  void WriteVariable(std::uint64_t rest) {
+    constexpr std::uint64_t kMore = 0x80;
+    for (std::size_t index = 1; rest >= kMore && index < kMostNumberBytes;
+         ++index) {
+      this->bytes.push_back(static_cast<char>(rest | kMore));
+      rest >>= kBitsPerByte;
+    }
+    this->bytes.push_back(static_cast<char>(rest));
+  }
+
   std::string& bytes;
 };
 
@@ -67,6 +93,14 @@
 
   template <std::integral Number>
   void ReadNumber(Number& number) {
+    if constexpr (kHasVariableSize<Number>) {
+      const auto raw = this->ReadVariable();
+      if (raw > std::numeric_limits<std::make_unsigned_t<Number>>::max()) {
+        throw cereal::Exception("a number is larger than its field");
+      }
+      number = static_cast<Number>(raw);
+      return;
+    }
     unsigned char encoded[sizeof(Number)];
     this->Read(encoded, sizeof(encoded));
     std::make_unsigned_t<Number> raw = 0;
@@ -80,6 +114,26 @@
   std::size_t BytesLeft() const { return this->rest.size(); }
 
  private:
+  std::uint64_t ReadVariable() {
+    constexpr std::uint64_t kMore = 0x80;
+    std::uint64_t value = 0;
+    for (std::size_t index = 0; index < kMostNumberBytes; ++index) {
+      unsigned char byte = 0;
+      this->Read(&byte, 1);
+      const bool is_last = index + 1 == kMostNumberBytes;
+      const std::uint64_t bits = is_last ? byte : byte & (kMore - 1);
+      value |= bits << (kBitsPerByte * index);
+      if (is_last || (byte & kMore) == 0) {
+        // One number has one form, so that what was read is written alike.
+        if (byte == 0 && index > 0) {
+          throw cereal::Exception("a number is longer than it need be");
+        }
+        break;
+      }
+    }
+    return value;
+  }
+
   std::string_view rest;
 };
 
--- a/tests/node/hostile_datagram_test.cc
+++ b/tests/node/hostile_datagram_test.cc
@@ -46,7 +46,7 @@
     {"longer than a datagram may be",
      [](NodeAddress from) {
        decision::Heartbeat heartbeat{.from = from};
-       heartbeat.convicted.resize(200);
+       heartbeat.convicted.resize(200, {~std::uint64_t{0}, 1s});
        return Sealed(EncodeHeartbeat(heartbeat));
      }},
     {"bit flipped",
--- a/tests/node/hostile_peer_test.cc
+++ b/tests/node/hostile_peer_test.cc
@@ -65,7 +65,8 @@
      }},
     {"other version",
      [](NodeAddress from) {
-       return WithChecksum(WithByte(VisitBytes(ValidVisit(from)), 3, 2));
+       return WithChecksum(
+           WithByte(VisitBytes(ValidVisit(from)), 3, kFrameVersion + 1));
      }},
     {"unknown kind",
      [](NodeAddress from) {
