--- a/libraries/calls/call_origin.cc
+++ b/libraries/calls/call_origin.cc
@@ -20,7 +20,6 @@
 using decision::Outcome;
 using decision::Reason;
 using decision::VisitReply;
-using decision::VisitRequest;
 
 // Part of the target latency that a caller waits for a refusal at most.
 constexpr int kPatienceParts = 8;
@@ -38,14 +37,6 @@
 // Share of failures of a service above which nested calls are not repeated.
 constexpr double kMostFailing = 0.25;
 
-// A node that said something so lately is there: within the failure domain a
-// heartbeat and a half, elsewhere less than the time to notice a cut.
-constexpr Duration kNearWordTrusted = 450ms;
-constexpr Duration kFarWordTrusted = 150ms;
-
-// Time for the answer to an offer, which waits for nothing.
-constexpr Duration kOfferTime = 250ms;
-
 // What is left must be enough for another attempt to make sense.
 constexpr Duration kLeastForRepeat = 50ms;
 
@@ -251,49 +242,6 @@
   this->SendTo(now, call, *node);
 }
 
-bool CallOrigin::NeedsOffer(Instant now, const Call& call, NodeAddress node) {
-  const auto* known = this->fleet.Find(node);
-  if (call.route->IsIdempotent() || node == this->options.self ||
-      known == nullptr) {
-    return false;
-  }
-  const auto trusted =
-      this->fleet.IsNear(*known) ? kNearWordTrusted : kFarWordTrusted;
-  return !known->last_heard || now - *known->last_heard > trusted;
-}
-
-void CallOrigin::SendTo(Instant now, Call& call, NodeAddress node) {
-  this->SendAttempt(now, call, node, this->NeedsOffer(now, call, node));
-}
-
-void CallOrigin::SendAttempt(Instant now,
-                             Call& call,
-                             NodeAddress node,
-                             bool is_offer) {
-  call.attempt = Attempt{.node = node,
-                         .is_offer = is_offer,
-                         .number = ++call.attempts,
-                         .sent = now};
-  call.last_node = node;
-  this->fleet.AttemptSent(now, node);
-  const VisitRequest visit{.attempt = {.origin = this->options.self,
-                                       .incarnation = this->options.incarnation,
-                                       .call = call.id,
-                                       .number = call.attempts},
-                           .service = call.service,
-                           .route = call.route->name,
-                           .remaining = call.deadline - now,
-                           .importance = call.importance,
-                           .idempotent = call.route->IsIdempotent(),
-                           .fingerprint = call.fingerprint,
-                           .nested = call.parent.has_value(),
-                           .returning = call.returning,
-                           .patience = this->PatienceOf(now, call),
-                           .is_offer = is_offer};
-  static const auto no_request = std::make_shared<const HttpRequest>();
-  this->output.SendVisit(node, visit, is_offer ? no_request : call.request);
-}
-
 CallOrigin::Call* CallOrigin::FindCurrent(const AttemptId& attempt) {
   const auto found = this->calls.find(attempt.call);
   const bool is_current =
@@ -430,40 +378,6 @@
                OwnAnswer(http_status::kBadGateway, reason, Duration{}), reason);
 }
 
-void CallOrigin::OnAttemptLost(Instant now,
-                               const AttemptId& attempt,
-                               bool sent) {
-  auto* call = this->FindCurrent(attempt);
-  if (call == nullptr) {
-    return;
-  }
-  const auto [node, is_offer, number, sent_at] = *call->attempt;
-  this->fleet.AttemptEnded(now, node, /*silent=*/true);
-  call->attempt.reset();
-  call->tried.push_back(node);
-  if (!sent || is_offer) {
-    call->reason = Reason::kUnreachable;
-    this->Dispatch(now, *call, /*needs_room=*/false);
-    return;
-  }
-  call->offered += 1;
-  this->TakeUnknown(now, *call, Reason::kConnectionLost);
-}
-
-void CallOrigin::DropAttempt(Instant now, Call& call, bool silent) {
-  if (!call.attempt) {
-    return;
-  }
-  const auto attempt = *call.attempt;
-  call.attempt.reset();
-  this->fleet.AttemptEnded(now, attempt.node, silent);
-  this->output.CancelVisit(attempt.node,
-                           {.origin = this->options.self,
-                            .incarnation = this->options.incarnation,
-                            .call = call.id,
-                            .number = attempt.number});
-}
-
 void CallOrigin::OnCallerGone(Instant now, CallId id) {
   const auto found = this->calls.find(id);
   if (found == this->calls.end()) {
@@ -485,48 +399,6 @@
   this->EndSilentAttempts(now);
 }
 
-void CallOrigin::EndSilentOffers(Instant now) {
-  std::vector<CallId> unanswered;
-  for (const auto& [id, call] : this->calls) {
-    if (call.attempt && call.attempt->is_offer &&
-        now - call.attempt->sent > kOfferTime) {
-      unanswered.push_back(id);
-    }
-  }
-  for (const auto id : unanswered) {
-    auto& call = this->calls.at(id);
-    call.tried.push_back(call.attempt->node);
-    call.reason = Reason::kUnreachable;
-    this->DropAttempt(now, call, /*silent=*/true);
-    this->Dispatch(now, call, /*needs_room=*/false);
-  }
-}
-
-void CallOrigin::EndSilentAttempts(Instant now) {
-  const auto silent = this->fleet.SilentNodes(now);
-  if (silent.empty()) {
-    return;
-  }
-  std::vector<CallId> waiting;
-  for (const auto& [id, call] : this->calls) {
-    if (call.attempt && call.route->IsIdempotent() &&
-        now - call.attempt->sent > 500ms &&
-        std::find(silent.begin(), silent.end(), call.attempt->node) !=
-            silent.end()) {
-      waiting.push_back(id);
-    }
-  }
-  for (const auto id : waiting) {
-    if (const auto found = this->calls.find(id); found != this->calls.end()) {
-      auto& call = found->second;
-      call.tried.push_back(call.attempt->node);
-      call.offered += 1;
-      this->DropAttempt(now, call, /*silent=*/true);
-      this->TakeUnknown(now, call, Reason::kConnectionLost);
-    }
-  }
-}
-
 std::optional<Instant> CallOrigin::NextWake() const {
   if (this->deadlines.empty()) {
     return std::nullopt;
--- a/tests/admission/work_times_test.cc
+++ b/tests/admission/work_times_test.cc
@@ -7,8 +7,8 @@
 
 BOOST_AUTO_TEST_SUITE(WorkTimesTest)
 
-const auto kShort = WorkTimes::IdOf("short");
-const auto kLong = WorkTimes::IdOf("long");
+const auto short_route = WorkTimes::IdOf("short");
+const auto long_route = WorkTimes::IdOf("long");
 
 NodeAddress NodeAt(std::uint32_t index) {
   return {.ip = 0x0a010000 + index, .port = 7300};
@@ -26,10 +26,10 @@
     };
     auto& times = this->endpoints[endpoint];
     for (int request = 0; request < short_requests; ++request) {
-      times.Learn(this->now, kShort, taken(40ms));
+      times.Learn(this->now, short_route, taken(40ms));
     }
     for (int request = 0; request < long_requests; ++request) {
-      times.Learn(this->now, kLong, taken(640ms));
+      times.Learn(this->now, long_route, taken(640ms));
     }
   }
 
@@ -90,10 +90,10 @@
 
 BOOST_FIXTURE_TEST_CASE(ARequestBrokenOffEarlyIsNoFastOne, Fixture) {
   this->Run(0, 20, 0);
-  this->endpoints[0].LearnAtLeast(this->now, kShort, 5ms);
-  BOOST_TEST((this->endpoints[0].Own(kShort) == 40ms));
-  this->endpoints[0].LearnAtLeast(this->now, kShort, 840ms);
-  BOOST_TEST((this->endpoints[0].Own(kShort) > 60ms));
+  this->endpoints[0].LearnAtLeast(this->now, short_route, 5ms);
+  BOOST_TEST((this->endpoints[0].Own(short_route) == 40ms));
+  this->endpoints[0].LearnAtLeast(this->now, short_route, 840ms);
+  BOOST_TEST((this->endpoints[0].Own(short_route) > 60ms));
 }
 
 // Otherwise an endpoint that once was slow gets no work to show that it no
@@ -116,7 +116,7 @@
   this->Run(1, 40, 0);
   this->TellAll();
   this->endpoints[0].Clear();
-  BOOST_TEST((this->endpoints[0].Usual(this->now, kShort) == 0ms));
+  BOOST_TEST((this->endpoints[0].Usual(this->now, short_route) == 0ms));
   BOOST_TEST(!this->endpoints[0].Slowness(this->now).has_value());
 }
 
