--- a/libraries/decision/events.h
+++ b/libraries/decision/events.h
@@ -148,7 +148,8 @@
     archive(this->from, this->incarnation, this->state_digest, this->load,
             this->convicted, this->platform_age, this->leaving_hints,
             this->demand, this->sums, this->route_times, this->crashes,
-            this->wants_answer, this->directory_digest, this->directory_revision, this->reading);
+            this->wants_answer, this->directory_digest,
+            this->directory_revision, this->reading);
   }
 };
 
