Admission: A bound on the slowness that is told

Cause: read in the change: what runs for long at a route whose usual time is tiny gave a ratio that does not fit the 32 bits of a heartbeat, where the conversion is undefined. Change: 100 at most. Test: SlownessHasABound.

--- a/libraries/admission/work_times.cc
+++ b/libraries/admission/work_times.cc
@@ -24,6 +24,9 @@
 // With less than this, nothing is known.
 constexpr double kLeastWeight = 0.3;
 
+// An endpoint that is slower than this gets no work while there is another.
+constexpr double kMostSlowness = 100;
+
 // The word of another endpoint counts this long. In a large failure domain it
 // comes once in a few seconds.
 constexpr Duration kToldTrusted = 8s;
@@ -144,7 +147,8 @@
       slowness = under_way;
     }
   }
-  return slowness;
+  return slowness ? std::optional(std::min(*slowness, kMostSlowness))
+                  : std::nullopt;
 }
 
 }  // namespace agaterun::admission
--- a/libraries/admission/work_times.h
+++ b/libraries/admission/work_times.h
@@ -49,8 +49,8 @@
   // Own times of the routes with most requests, as a heartbeat has room for.
   std::vector<decision::RouteTime> ToTell(Instant now) const;
 
-  // Time taken over what is usual for the same work; nothing while too little
-  // ran here lately.
+  // Time taken over what is usual for the same work, 100 at most; nothing while
+  // too little ran here lately.
   std::optional<double> Slowness(Instant now) const;
 
  private:
--- a/tests/admission/work_times_test.cc
+++ b/tests/admission/work_times_test.cc
@@ -88,6 +88,13 @@
   BOOST_TEST(this->SlownessOf(1) < 1.1);
 }
 
+// A heartbeat has no room for more.
+BOOST_FIXTURE_TEST_CASE(SlownessHasABound, Fixture) {
+  this->Run(0, 40, 0);
+  this->endpoints[0].SetRunning({.taken = 1h, .usual = 1us});
+  BOOST_TEST(this->SlownessOf(0) == 100);
+}
+
 BOOST_FIXTURE_TEST_CASE(ARequestBrokenOffEarlyIsNoFastOne, Fixture) {
   this->Run(0, 20, 0);
   this->endpoints[0].LearnAtLeast(this->now, short_route, 5ms);
