Calls: The gate reports what its backend server states in responses

Backend servers state a rate limit and that they are leaving in headers of their responses; nothing read them, so no log line or state dump could tell whether a limit was read, kept or forgotten. The gate now reads both, logs each change (events 415, 416), and shows them in the state dump. No decision depends on them yet. A limit that is no decimal number is reported and the one before it stays.

--- a/libraries/calls/dialect.cc
+++ b/libraries/calls/dialect.cc
@@ -1,9 +1,27 @@
 #include "libraries/calls/dialect.h"
 
+#include <charconv>
+#include <cmath>
+
 #include "libraries/base/http_status.h"
 
 namespace agaterun::calls {
 
+namespace {
+
+std::optional<double> ParseRate(const std::string& text) {
+  double rate = 0;
+  const auto* end = text.data() + text.size();
+  const auto [last, error] =
+      std::from_chars(text.data(), end, rate, std::chars_format::fixed);
+  if (error != std::errc() || last != end || !std::isfinite(rate) || rate < 0) {
+    return std::nullopt;
+  }
+  return rate;
+}
+
+}  // namespace
+
 ResponseClass ClassifyResponse(const HttpResponse& answer,
                                const Dialect& dialect) {
   if (answer.status == http_status::kMisdirected) {
@@ -22,4 +40,17 @@
   return has_stamp ? ResponseClass::kValid : ResponseClass::kInvalid;
 }
 
+BackendNotice ReadBackendNotice(const HttpResponse& answer,
+                                const Dialect& dialect) {
+  BackendNotice notice;
+  if (const auto* text = FindHeader(answer.headers, dialect.rate_limit);
+      text != nullptr) {
+    notice.rate_limit = ParseRate(*text);
+    notice.has_invalid_rate_limit = !notice.rate_limit.has_value();
+  }
+  const auto* leaving = FindHeader(answer.headers, dialect.leaving);
+  notice.is_leaving = leaving != nullptr && *leaving == "1";
+  return notice;
+}
+
 }  // namespace agaterun::calls
--- a/libraries/calls/dialect.h
+++ b/libraries/calls/dialect.h
@@ -1,6 +1,7 @@
 #ifndef LIBRARIES_CALLS_DIALECT_H_
 #define LIBRARIES_CALLS_DIALECT_H_
 
+#include <optional>
 #include <string>
 
 #include "libraries/base/http_message.h"
@@ -19,6 +20,8 @@
   std::string instance;           // Id of the responding backend server.
   std::string account_key;        // Key of the caller's client account.
   std::string account;            // Name of the client account.
+  std::string rate_limit;         // Requests per second; see BackendNotice.
+  std::string leaving;            // The backend server is shutting down.
   std::string probe_path;
 };
 
@@ -33,6 +36,22 @@
 ResponseClass ClassifyResponse(const HttpResponse& answer,
                                const Dialect& dialect);
 
+// What a backend server states about itself in a response.
+struct BackendNotice {
+  // Requests per second that it accepts from all hosts together; nullopt if it
+  // states no limit.
+  std::optional<double> rate_limit;
+  // The header of the rate limit is not a non-negative decimal number.
+  bool has_invalid_rate_limit = false;
+  // It is shutting down, and is to receive no more requests.
+  bool is_leaving = false;
+
+  bool operator==(const BackendNotice&) const = default;
+};
+
+BackendNotice ReadBackendNotice(const HttpResponse& answer,
+                                const Dialect& dialect);
+
 }  // namespace agaterun::calls
 
 #endif  // LIBRARIES_CALLS_DIALECT_H_
--- a/libraries/calls/visit_gate.cc
+++ b/libraries/calls/visit_gate.cc
@@ -26,9 +26,6 @@
 // deadline.
 constexpr Duration kOverdueAbortDelay = 150ms;
 
-// Weight of the latest visit in the moving average of failures.
-constexpr double kFailureWeight = 0.05;
-
 // While no new results arrive, the measurements of the backend server lose half
 // their weight in this time. Below the minimum weight they are not reported.
 constexpr Duration kMeasurementHalfLife = 1s;
@@ -76,6 +73,13 @@
 void VisitGate::SetEntry(Instant now,
                          std::optional<membership::EndpointEntry> new_entry) {
   this->entry = std::move(new_entry);
+  if (this->entry && (this->entry->id != this->notice_instance ||
+                      this->entry->started_at != this->notice_started_at)) {
+    // Another incarnation doesn't know what the one before it stated.
+    this->notice = {};
+    this->notice_instance = this->entry->id;
+    this->notice_started_at = this->entry->started_at;
+  }
   if (this->entry) {
     this->queue.SetLimit(
         static_cast<int>(this->entry->slots * kMaxUtilization));
@@ -326,92 +330,6 @@
   this->StartQueued(now);
 }
 
-void VisitGate::RecordResult(Instant now, bool failed) {
-  this->last_result = now;
-  this->failure_share +=
-      ((failed ? 1.0 : 0.0) - this->failure_share) * kFailureWeight;
-}
-
-void VisitGate::HandleResponse(Instant now, VisitNumber number, Answer answer) {
-  const auto& visit = this->visits.at(number);
-  switch (ClassifyResponse(*answer, this->dialect)) {
-    case ResponseClass::kValid:
-      // A backend server that is healthy responds 504 too when the deadline
-      // passes, so 504 isn't counted as a success or a failure.
-      this->last_result = now;
-      if (answer->status != http_status::kGatewayTimeout) {
-        this->RecordResult(now, answer->status >= http_status::kServerErrors);
-      }
-      this->queue.Ended(now - visit.started);
-      // The time of a failed request is only a lower bound of its service time.
-      if (answer->status < http_status::kServerErrors) {
-        this->times.RecordServiceTime(now, visit.route, now - visit.started);
-      } else {
-        this->times.RecordLowerBound(now, visit.route, now - visit.started);
-      }
-      this->SendVisitReply(now, visit, Outcome::kCompleted, Reason::kNone, true,
-                           std::move(answer), this->TotalCosts(now, visit));
-      return;
-    case ResponseClass::kNotRun:
-      this->RecordResult(now, true);
-      this->queue.Released();
-      this->SendVisitReply(now, visit, Outcome::kNotRun,
-                           Reason::kBackendRejected, true, nullptr);
-      return;
-    case ResponseClass::kOtherInstance:
-      this->queue.Released();
-      this->SendVisitReply(now, visit, Outcome::kNotRun, Reason::kBackendDown,
-                           false, nullptr);
-      // The entry may have been replaced while the request was in flight.
-      if (this->entry && this->entry->id == visit.instance) {
-        this->entry.reset();
-        this->output.OnOtherInstance();
-      }
-      return;
-    case ResponseClass::kInvalid:
-      this->RecordResult(now, true);
-      this->queue.Ended(now - visit.started);
-      this->SendVisitReply(now, visit, Outcome::kUnknown,
-                           Reason::kBackendFailed, true, nullptr);
-      return;
-  }
-}
-
-void VisitGate::OnExchangeEnded(Instant now,
-                                VisitNumber number,
-                                ExchangeResult end,
-                                Answer answer) {
-  const auto found = this->visits.find(number);
-  if (found == this->visits.end()) {
-    return;
-  }
-  const auto& visit = found->second;
-  switch (end) {
-    case ExchangeResult::kResponded:
-      this->crashes.RecordCompletion(visit.request.fingerprint);
-      this->HandleResponse(now, number, std::move(answer));
-      break;
-    case ExchangeResult::kNotSent:
-      this->queue.Released();
-      this->output.ReportVisit(LogEvent::kVisitRefused, *visit.http_request,
-                               Reason::kBackendDown, now - visit.arrived);
-      this->SendVisitReply(now, visit, Outcome::kNotRun, Reason::kBackendDown,
-                           false, nullptr);
-      break;
-    case ExchangeResult::kBroken:
-      this->crashes.RecordBrokenExchange(now, visit.request.fingerprint);
-      this->RecordResult(now, true);
-      this->queue.Ended(now - visit.started);
-      this->output.ReportVisit(LogEvent::kVisitBroken, *visit.http_request,
-                               Reason::kBackendFailed, now - visit.started);
-      this->SendVisitReply(now, visit, Outcome::kUnknown,
-                           Reason::kBackendFailed, true, nullptr);
-      break;
-  }
-  this->EndVisit(number);
-  this->StartQueued(now);
-}
-
 void VisitGate::OnTick(Instant now) {
   for (const auto number : this->queue.PopExpired(now)) {
     this->RefuseVisit(now, number, Reason::kOverloaded);
--- a/libraries/calls/visit_gate.h
+++ b/libraries/calls/visit_gate.h
@@ -52,6 +52,9 @@
   // A backend server with another id than the listed one responded at the
   // address.
   virtual void OnOtherInstance() = 0;
+  // The backend server states something else about itself than in its earlier
+  // responses.
+  virtual void OnBackendNotice(const BackendNotice& notice) = 0;
   virtual void ReportVisit(LogEvent event,
                            const HttpRequest& request,
                            decision::Reason reason,
@@ -122,6 +125,9 @@
   // A running request made a nested call.
   void CountNestedCall() { this->nested_calls += 1; }
 
+  // What the backend server stated about itself last.
+  const BackendNotice& Notice() const { return this->notice; }
+
   decision::LoadReport Load(Instant now) const;
   // Service times of requests here and at other endpoints of the service.
   admission::WorkTimes& Times() { return this->times; }
@@ -164,6 +170,8 @@
   std::vector<decision::ServiceCost> TotalCosts(Instant now,
                                                 const Visit& visit) const;
   void RecordResult(Instant now, bool failed);
+  // Applies what the backend server states about itself in a response.
+  void RecordNotice(const Visit& visit, BackendNotice new_notice);
   void UpdateRunningTimes(Instant now);
 
   Options options;
@@ -171,6 +179,10 @@
   retries::CrashHistory& crashes;
   GateOutput& output;
   std::optional<membership::EndpointEntry> entry;
+  BackendNotice notice;
+  // Incarnation of the backend server that `notice` applies to.
+  std::string notice_instance;
+  std::uint64_t notice_started_at = 0;
   bool reachable = true;
   bool stopping = false;
   admission::SlotQueue queue;
--- /dev/null
+++ b/libraries/calls/visit_gate_responses.cc
@@ -0,0 +1,122 @@
+#include <utility>
+
+#include "libraries/base/http_status.h"
+#include "libraries/calls/visit_gate.h"
+
+// VisitGate's handling of the backend server's responses.
+namespace agaterun::calls {
+
+namespace {
+
+using decision::Answer;
+using decision::Outcome;
+using decision::Reason;
+
+// Weight of the latest visit in the moving average of failures.
+constexpr double kFailureWeight = 0.05;
+
+}  // namespace
+
+void VisitGate::RecordResult(Instant now, bool failed) {
+  this->last_result = now;
+  this->failure_share +=
+      ((failed ? 1.0 : 0.0) - this->failure_share) * kFailureWeight;
+}
+
+void VisitGate::RecordNotice(const Visit& visit,
+                             BackendNotice new_notice) {
+  if (new_notice.has_invalid_rate_limit) {
+    new_notice.rate_limit = this->notice.rate_limit;
+  }
+  if (visit.instance != this->notice_instance || new_notice == this->notice) {
+    return;
+  }
+  this->notice = new_notice;
+  this->output.OnBackendNotice(this->notice);
+}
+
+void VisitGate::HandleResponse(Instant now, VisitNumber number, Answer answer) {
+  const auto& visit = this->visits.at(number);
+  const auto response_class = ClassifyResponse(*answer, this->dialect);
+  if (response_class == ResponseClass::kValid) {
+    this->RecordNotice(visit, ReadBackendNotice(*answer, this->dialect));
+  }
+  switch (response_class) {
+    case ResponseClass::kValid:
+      // A backend server that is healthy responds 504 too when the deadline
+      // passes, so 504 isn't counted as a success or a failure.
+      this->last_result = now;
+      if (answer->status != http_status::kGatewayTimeout) {
+        this->RecordResult(now, answer->status >= http_status::kServerErrors);
+      }
+      this->queue.Ended(now - visit.started);
+      // The time of a failed request is only a lower bound of its service time.
+      if (answer->status < http_status::kServerErrors) {
+        this->times.RecordServiceTime(now, visit.route, now - visit.started);
+      } else {
+        this->times.RecordLowerBound(now, visit.route, now - visit.started);
+      }
+      this->SendVisitReply(now, visit, Outcome::kCompleted, Reason::kNone, true,
+                           std::move(answer), this->TotalCosts(now, visit));
+      return;
+    case ResponseClass::kNotRun:
+      this->RecordResult(now, true);
+      this->queue.Released();
+      this->SendVisitReply(now, visit, Outcome::kNotRun,
+                           Reason::kBackendRejected, true, nullptr);
+      return;
+    case ResponseClass::kOtherInstance:
+      this->queue.Released();
+      this->SendVisitReply(now, visit, Outcome::kNotRun, Reason::kBackendDown,
+                           false, nullptr);
+      // The entry may have been replaced while the request was in flight.
+      if (this->entry && this->entry->id == visit.instance) {
+        this->entry.reset();
+        this->output.OnOtherInstance();
+      }
+      return;
+    case ResponseClass::kInvalid:
+      this->RecordResult(now, true);
+      this->queue.Ended(now - visit.started);
+      this->SendVisitReply(now, visit, Outcome::kUnknown,
+                           Reason::kBackendFailed, true, nullptr);
+      return;
+  }
+}
+
+void VisitGate::OnExchangeEnded(Instant now,
+                                VisitNumber number,
+                                ExchangeResult end,
+                                Answer answer) {
+  const auto found = this->visits.find(number);
+  if (found == this->visits.end()) {
+    return;
+  }
+  const auto& visit = found->second;
+  switch (end) {
+    case ExchangeResult::kResponded:
+      this->crashes.RecordCompletion(visit.request.fingerprint);
+      this->HandleResponse(now, number, std::move(answer));
+      break;
+    case ExchangeResult::kNotSent:
+      this->queue.Released();
+      this->output.ReportVisit(LogEvent::kVisitRefused, *visit.http_request,
+                               Reason::kBackendDown, now - visit.arrived);
+      this->SendVisitReply(now, visit, Outcome::kNotRun, Reason::kBackendDown,
+                           false, nullptr);
+      break;
+    case ExchangeResult::kBroken:
+      this->crashes.RecordBrokenExchange(now, visit.request.fingerprint);
+      this->RecordResult(now, true);
+      this->queue.Ended(now - visit.started);
+      this->output.ReportVisit(LogEvent::kVisitBroken, *visit.http_request,
+                               Reason::kBackendFailed, now - visit.started);
+      this->SendVisitReply(now, visit, Outcome::kUnknown,
+                           Reason::kBackendFailed, true, nullptr);
+      break;
+  }
+  this->EndVisit(number);
+  this->StartQueued(now);
+}
+
+}  // namespace agaterun::calls
--- a/libraries/proxy/node_state.cc
+++ b/libraries/proxy/node_state.cc
@@ -45,6 +45,10 @@
         {"limit", this->load.limit},
         {"backend_up", this->load.backend_up},
         {"leaving", this->load.leaving},
+        {"stated_rate_limit", this->notice.rate_limit
+                                  ? nlohmann::json(*this->notice.rate_limit)
+                                  : nlohmann::json()},
+        {"stated_leaving", this->notice.is_leaving},
         {"failure_share", this->load.failure_share},
         {"connections_made", this->connections_opened}}},
       {"accounts", used},
--- a/libraries/proxy/node_state.h
+++ b/libraries/proxy/node_state.h
@@ -9,6 +9,7 @@
 
 #include "libraries/accounts/account_quotas.h"
 #include "libraries/base/node_address.h"
+#include "libraries/calls/dialect.h"
 #include "libraries/decision/messages.h"
 #include "libraries/membership/directory_source.h"
 #include "libraries/membership/fleet.h"
@@ -26,6 +27,7 @@
   std::string service;   // Of the backend server on this host.
   std::string instance;  // Of the same; empty if it isn't listed.
   decision::LoadReport load;
+  calls::BackendNotice notice;  // Of the backend server on this host.
   // The client accounts that use most of their limits.
   std::vector<accounts::AccountQuotas::AccountUse> accounts;
   std::uint64_t connections_opened = 0;  // Opened to the backend server.
--- a/libraries/proxy/proxy_node.cc
+++ b/libraries/proxy/proxy_node.cc
@@ -296,6 +296,16 @@
   this->UpdateLocalEntry(/*is_authoritative=*/true);
 }
 
+void ProxyNode::OnBackendNotice(const calls::BackendNotice& notice) {
+  const auto instance = this->gate.Entry() ? this->gate.Entry()->id : "-";
+  Log(notice.has_invalid_rate_limit ? LogEvent::kBackendNoticeInvalid
+                                    : LogEvent::kBackendNotice,
+      {{"instance", instance},
+       {"rate_limit",
+        notice.rate_limit ? std::to_string(*notice.rate_limit) : "-"},
+       {"leaving", notice.is_leaving ? "yes" : "no"}});
+}
+
 void ProxyNode::ReportVisit(LogEvent event,
                             const HttpRequest& request,
                             decision::Reason reason,
@@ -412,6 +422,7 @@
       .service = this->gate.Service(),
       .instance = this->gate.Entry() ? this->gate.Entry()->id : "",
       .load = this->gate.Load(this->Now()),
+      .notice = this->gate.Notice(),
       .accounts = this->origin.Quotas().HighestUse(this->Now(), kShownAccounts),
       .connections_opened = this->pool->ConnectionsOpened(),
       .nodes = this->fleet.All()};
--- a/libraries/proxy/proxy_node.h
+++ b/libraries/proxy/proxy_node.h
@@ -130,6 +130,7 @@
                  decision::VisitReply reply,
                  decision::Answer answer) override;
   void OnOtherInstance() override;
+  void OnBackendNotice(const calls::BackendNotice& notice) override;
   void ReportVisit(LogEvent event,
                    const HttpRequest& request,
                    decision::Reason reason,
--- a/tests/calls/test_dialect.h
+++ b/tests/calls/test_dialect.h
@@ -16,6 +16,8 @@
           .instance = "Instance",
           .account_key = "Key",
           .account = "Account",
+          .rate_limit = "Rate",
+          .leaving = "Leaving",
           .probe_path = "/ready"};
 }
 
--- a/tests/calls/visit_gate_test.cc
+++ b/tests/calls/visit_gate_test.cc
@@ -37,6 +37,9 @@
     this->responses[reply.attempt.call] = std::move(answer);
   }
   void OnOtherInstance() override { ++this->other_instances; }
+  void OnBackendNotice(const BackendNotice& notice) override {
+    this->notices.push_back(notice);
+  }
   void ReportVisit(LogEvent /*event*/,
                    const HttpRequest& /*request*/,
                    Reason /*reason*/,
@@ -49,6 +52,7 @@
   std::string instance;
   Duration remaining{};
   int other_instances = 0;
+  std::vector<BackendNotice> notices;
 };
 
 struct Fixture {
