Admission: The gate keeps to the rate that its backend server states

Callers' view: three of four endpoints named a limit in their answers and went on getting 2 to 4 times of it (72 requests in 4 s at 4.8 a second, allowed 34).

Cause: the header was read by nothing. Class of fault: a promise about a backend server that depends on what all hosts send, with no place that sees the sum. All requests to a backend server pass its gate, so the gate alone applies the rate: a token bucket beside the slots. Visits beyond it wait for their turn as for a slot, or are refused as not run with the time to come back, and go to another endpoint. Origins learn of it by fewer slots in the load report, which has no new field, so that a node of the build before understands it.

Ways compared: a part of the limit at each origin (needs a count of the origins, and is wrong in a cut), and the limit told to the gate with each visit (a new field on the wire). Neither was built.

Tests failed before: 800 requests in 4 s where 41 are allowed.

--- a/libraries/admission/slot_queue.cc
+++ b/libraries/admission/slot_queue.cc
@@ -1,6 +1,7 @@
 #include "libraries/admission/slot_queue.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace agaterun::admission {
 
@@ -34,12 +35,16 @@
   this->running = std::max(0, this->running - 1);
 }
 
+std::size_t SlotQueue::QueuedAhead(int rank) const {
+  return static_cast<std::size_t>(
+      std::distance(this->queue.begin(), this->EndOfRank(rank)));
+}
+
 Duration SlotQueue::ExpectedWait(int rank) const {
   if (this->CanStart(rank)) {
     return Duration{};
   }
-  const auto end = this->queue.upper_bound(
-      QueuePosition{.rank = rank, .sequence_number = ~std::uint64_t{0}});
+  const auto end = this->EndOfRank(rank);
   Duration work_ahead{};
   for (auto entry = this->queue.begin(); entry != end; ++entry) {
     const auto work = entry->second.work;
--- a/libraries/admission/slot_queue.h
+++ b/libraries/admission/slot_queue.h
@@ -44,6 +44,9 @@
   // service time is not affected.
   void Released();
 
+  // Number of queued requests that start before one of this priority.
+  std::size_t QueuedAhead(int rank) const;
+
   // Expected wait of a request of this priority, from the expected times of the
   // requests ahead of it; zero if it can start immediately.
   Duration ExpectedWait(int rank) const;
@@ -75,6 +78,10 @@
     }
   };
 
+  std::map<QueuePosition, Waiting>::const_iterator EndOfRank(int rank) const {
+    return this->queue.upper_bound(
+        {.rank = rank, .sequence_number = ~std::uint64_t{0}});
+  }
   std::map<QueuePosition, Waiting>::iterator Erase(
       std::map<QueuePosition, Waiting>::iterator entry);
 
--- a/libraries/calls/visit_gate.cc
+++ b/libraries/calls/visit_gate.cc
@@ -77,6 +77,7 @@
                       this->entry->started_at != this->notice_started_at)) {
     // Another incarnation doesn't know what the one before it stated.
     this->notice = {};
+    this->rate_limit.Reset();
     this->notice_instance = this->entry->id;
     this->notice_started_at = this->entry->started_at;
   }
@@ -116,6 +117,12 @@
   return Reason::kNone;
 }
 
+Duration VisitGate::ExpectedWait(Instant now, int priority) const {
+  return std::max(
+      this->queue.ExpectedWait(priority),
+      this->rate_limit.ExpectedWait(now, this->queue.QueuedAhead(priority)));
+}
+
 void VisitGate::OnVisit(Instant now,
                         NodeAddress from,
                         const VisitRequest& request,
@@ -153,12 +160,11 @@
     return;
   }
   const int priority = QueuePriority(request);
-  if (this->queue.CanStart(priority)) {
+  if (this->queue.CanStart(priority) && this->rate_limit.MayStart(now)) {
     this->StartVisit(now, number);
     return;
   }
-  const auto wait = this->queue.ExpectedWait(priority);
-  if (wait > request.max_wait) {
+  if (this->ExpectedWait(now, priority) > request.max_wait) {
     this->RefuseVisit(now, number, Reason::kOverloaded);
     return;
   }
@@ -193,6 +199,7 @@
   visit.instance = this->entry->id;
   this->running_by_request_id[visit.request_id] = number;
   this->queue.Started();
+  this->rate_limit.Started(now);
   this->started_visits += 1;
   if (this->started_visits > kMaxCountedVisits) {
     this->started_visits /= 2;
@@ -207,7 +214,11 @@
   if (this->ClosedReason() != Reason::kNone) {
     return;
   }
-  while (const auto next = this->queue.Pop()) {
+  while (this->rate_limit.MayStart(now)) {
+    const auto next = this->queue.Pop();
+    if (!next) {
+      return;
+    }
     this->StartVisit(now, *next);
   }
 }
@@ -245,7 +256,7 @@
                    .costs = std::move(costs)};
   if (reason == Reason::kOverloaded) {
     constexpr int kLowestPriority = 1000;
-    reply.retry_after = this->queue.ExpectedWait(kLowestPriority);
+    reply.retry_after = this->ExpectedWait(now, kLowestPriority);
     reply.costs = {{.service = this->options.service,
                     .slot_time = this->queue.ServiceTime()}};
   }
@@ -366,8 +377,12 @@
   this->times.SetRunning(running);
 }
 
-std::optional<Instant> VisitGate::NextWake() const {
-  return this->queue.NextExpiry();
+std::optional<Instant> VisitGate::NextWake(Instant now) const {
+  const auto expiry = this->queue.NextExpiry();
+  if (!expiry || this->queue.Running() >= this->queue.Limit()) {
+    return expiry;
+  }
+  return std::min(*expiry, now + this->rate_limit.ExpectedWait(now, 0));
 }
 
 LoadReport VisitGate::Load(Instant now) const {
@@ -388,6 +403,15 @@
   if (this->started_visits > 0) {
     load.calls_per_request = this->nested_calls / this->started_visits;
   }
+  if (const auto concurrency =
+          this->rate_limit.Concurrency(this->queue.ServiceTime());
+      concurrency) {
+    load.limit = std::min(load.limit, static_cast<std::uint32_t>(*concurrency));
+  }
+  if (!this->rate_limit.MayStart(now)) {
+    // No slot is usable until the rate allows the next request.
+    load.running = std::max(load.running, load.limit);
+  }
   return load;
 }
 
--- a/libraries/calls/visit_gate.h
+++ b/libraries/calls/visit_gate.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "libraries/admission/backend_rate_limit.h"
 #include "libraries/admission/slot_queue.h"
 #include "libraries/admission/work_times.h"
 #include "libraries/base/http_message.h"
@@ -106,7 +107,7 @@
                        ExchangeResult end,
                        decision::Answer answer);
   void OnTick(Instant now);
-  std::optional<Instant> NextWake() const;
+  std::optional<Instant> NextWake(Instant now) const;
 
   // The running request that made the nested call with this request id; nullopt
   // when the call was not made by the backend server. The id of a nested call
@@ -150,6 +151,8 @@
   };
 
   decision::Reason ClosedReason() const;
+  // Expected wait of a visit of this priority until it may start.
+  Duration ExpectedWait(Instant now, int priority) const;
   // Replies to a capacity query whether the gate accepts work. Nothing runs.
   void ReplyToCapacityQuery(Instant now,
                             NodeAddress from,
@@ -171,7 +174,7 @@
                                                 const Visit& visit) const;
   void RecordResult(Instant now, bool failed);
   // Applies what the backend server states about itself in a response.
-  void RecordNotice(const Visit& visit, BackendNotice new_notice);
+  void RecordNotice(Instant now, const Visit& visit, BackendNotice new_notice);
   void UpdateRunningTimes(Instant now);
 
   Options options;
@@ -186,6 +189,7 @@
   bool reachable = true;
   bool stopping = false;
   admission::SlotQueue queue;
+  admission::BackendRateLimit rate_limit;
   admission::WorkTimes times;
   VisitNumber next_number = 1;
   std::unordered_map<VisitNumber, Visit> visits;
--- a/libraries/calls/visit_gate_responses.cc
+++ b/libraries/calls/visit_gate_responses.cc
@@ -23,12 +23,17 @@
       ((failed ? 1.0 : 0.0) - this->failure_share) * kFailureWeight;
 }
 
-void VisitGate::RecordNotice(const Visit& visit,
+void VisitGate::RecordNotice(Instant now,
+                             const Visit& visit,
                              BackendNotice new_notice) {
+  if (visit.instance != this->notice_instance) {
+    return;
+  }
   if (new_notice.has_invalid_rate_limit) {
     new_notice.rate_limit = this->notice.rate_limit;
   }
-  if (visit.instance != this->notice_instance || new_notice == this->notice) {
+  this->rate_limit.SetStatedRate(now, new_notice.rate_limit);
+  if (new_notice == this->notice) {
     return;
   }
   this->notice = new_notice;
@@ -39,7 +44,7 @@
   const auto& visit = this->visits.at(number);
   const auto response_class = ClassifyResponse(*answer, this->dialect);
   if (response_class == ResponseClass::kValid) {
-    this->RecordNotice(visit, ReadBackendNotice(*answer, this->dialect));
+    this->RecordNotice(now, visit, ReadBackendNotice(*answer, this->dialect));
   }
   switch (response_class) {
     case ResponseClass::kValid:
--- a/libraries/proxy/proxy_node.cc
+++ b/libraries/proxy/proxy_node.cc
@@ -318,7 +318,8 @@
 
 void ProxyNode::ArmWakeTimer() {
   Instant next = Instant::max();
-  for (const auto wake : {this->origin.NextWake(), this->gate.NextWake()}) {
+  for (const auto wake :
+       {this->origin.NextWake(), this->gate.NextWake(this->Now())}) {
     next = wake ? std::min(next, *wake) : next;
   }
   if (next >= this->wake_time) {
--- a/tests/calls/visit_gate_test.cc
+++ b/tests/calls/visit_gate_test.cc
@@ -402,6 +402,99 @@
   BOOST_TEST(!this->gate.FindParent("aa.1").has_value());
 }
 
+// Backend servers that state what they accept.
+
+struct NoticeFixture : Fixture {
+  NoticeFixture() {
+    auto entry = this->Entry();
+    entry.slots = 100;
+    this->gate.SetEntry(this->now, entry);
+  }
+
+  static decision::Answer Response(HttpHeaders headers) {
+    headers.push_back({"Stamp", "1"});
+    return std::make_shared<const HttpResponse>(
+        HttpResponse{.status = 200, .headers = std::move(headers)});
+  }
+
+  // Submits a visit each 5 ms, from one of several origins, and ends each
+  // exchange that has started. Returns the number of started exchanges.
+  std::size_t Run(Duration time, const HttpHeaders& headers) {
+    std::size_t count = 0;
+    for (const auto end = this->now + time; this->now < end; this->now += 5ms) {
+      this->gate.OnTick(this->now);
+      this->SubmitVisit(this->next_call++);
+      while (!this->output.started.empty()) {
+        ++count;
+        this->EndOldestExchange(ExchangeResult::kResponded, Response(headers));
+      }
+    }
+    return count;
+  }
+
+  decision::CallId next_call = 1;
+};
+
+// Guards against a backend server that gets several times the rate that it
+// states in its responses.
+BOOST_FIXTURE_TEST_CASE(StatedRateLimitsWhatTheBackendServerGets,
+                        NoticeFixture) {
+  BOOST_TEST(this->Run(4s, {}) > 700U);
+  this->Run(1s, {{"Rate", "6"}});
+  constexpr std::size_t kMaxRequests = 41;  // 1.5 * 6 per second * 4 s + 5.
+  const auto limited = this->Run(4s, {{"Rate", "6"}});
+  BOOST_TEST(limited <= kMaxRequests);
+  BOOST_TEST(limited >= 24U);
+  BOOST_TEST(*this->gate.Notice().rate_limit == 6);
+  this->Run(1s, {});
+  BOOST_TEST(this->Run(1s, {}) > 150U);
+}
+
+// Guards against refusals that name no cause or no time to come back.
+BOOST_FIXTURE_TEST_CASE(VisitsBeyondTheStatedRateAreRefusedAsNotRun,
+                        NoticeFixture) {
+  this->Run(1s, {{"Rate", "2"}});
+  while (this->Run(5ms, {{"Rate", "2"}}) == 0) {
+  }
+  const auto call = this->next_call;
+  this->Run(5ms, {{"Rate", "2"}});
+  const auto& reply = this->output.replies.at(call);
+  BOOST_TEST((reply.outcome == Outcome::kNotRun));
+  BOOST_TEST((reply.reason == Reason::kOverloaded));
+  BOOST_TEST((reply.retry_after > 100ms));
+}
+
+// The load report has no field for a rate, so that nodes of earlier builds
+// understand it: the limit shows as fewer slots.
+BOOST_FIXTURE_TEST_CASE(StatedRateShowsAsFewerSlots, NoticeFixture) {
+  BOOST_TEST(this->gate.Load(this->now).limit == 95U);
+  this->Run(2s, {{"Rate", "6"}});
+  const auto load = this->gate.Load(this->now);
+  BOOST_TEST(load.limit == 1U);
+  BOOST_TEST(load.running == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(InvalidRateLeavesTheOneBeforeInForce, NoticeFixture) {
+  this->Run(1s, {{"Rate", "6"}});
+  this->Run(1s, {{"Rate", "many"}});
+  BOOST_TEST(*this->gate.Notice().rate_limit == 6);
+  BOOST_TEST(this->gate.Notice().has_invalid_rate_limit);
+  BOOST_TEST(this->Run(4s, {{"Rate", "many"}}) <= 41U);
+}
+
+// An entry that is removed from the list for a moment and returns is the same
+// incarnation.
+BOOST_FIXTURE_TEST_CASE(StatedRateOutlastsAMissingEntry, NoticeFixture) {
+  this->Run(1s, {{"Rate", "6"}});
+  auto entry = *this->gate.Entry();
+  this->gate.SetEntry(this->now, std::nullopt);
+  this->gate.SetEntry(this->now, entry);
+  BOOST_TEST(this->Run(4s, {{"Rate", "6"}}) <= 41U);
+  entry.started_at += 1;
+  this->gate.SetEntry(this->now, entry);
+  BOOST_TEST(!this->gate.Notice().rate_limit.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace agaterun::calls
