Membership: A backend server that states its leaving gets nothing more

Callers' view: after a node had passed on an answer in which a backend server said that it leaves, requests still went there, while the platform's list called it ready (nodes without the store, restarts); they were cut when it ended.

Cause: only the platform's list was read, and that reaches a node cut off from the platform late or never. Class of fault: knowledge of a backend server from one source, though the server itself tells it. Now the gate closes with the first such answer, and each origin remembers what it has passed on, by the incarnation: the node beside the backend server may restart and not know, and an entry may be removed and return as ready. A later incarnation at the address ends it.

Tests failed before: StatedLeavingClosesTheGate, SendsNothingToABackendServerThatStatedItsLeaving; the fleet's is new with its function.

--- a/libraries/admission/backend_rate_limit.cc
+++ b/libraries/admission/backend_rate_limit.cc
@@ -37,15 +37,13 @@
 }
 
 double BackendRateLimit::Capacity() const {
-  return this->rate
-             ? std::max(1.0, this->PerSecond() * ToSeconds(kBurstTime))
-             : kTokensBeforeResponse;
+  return this->rate ? std::max(1.0, this->PerSecond() * ToSeconds(kBurstTime))
+                    : kTokensBeforeResponse;
 }
 
 double BackendRateLimit::TokensAt(Instant now) const {
   const double elapsed = ToSeconds(now - this->updated_at);
-  return std::min(this->Capacity(),
-                  this->tokens + elapsed * this->PerSecond());
+  return std::min(this->Capacity(), this->tokens + elapsed * this->PerSecond());
 }
 
 bool BackendRateLimit::MayStart(Instant now) const {
@@ -64,13 +62,12 @@
   if (!this->IsLimiting()) {
     return Duration{};
   }
-  const double missing =
-      static_cast<double>(ahead) + 1 - this->TokensAt(now);
+  const double missing = static_cast<double>(ahead) + 1 - this->TokensAt(now);
   // Rounded up, so that a request that waits for this long may start.
   return missing <= kTokenTolerance
              ? Duration{}
              : Duration(static_cast<std::int64_t>(
-                            std::ceil(missing / this->PerSecond() * 1e9)));
+                   std::ceil(missing / this->PerSecond() * 1e9)));
 }
 
 std::optional<int> BackendRateLimit::Concurrency(Duration service_time) const {
--- a/libraries/calls/call_origin.cc
+++ b/libraries/calls/call_origin.cc
@@ -154,6 +154,9 @@
     this->output.NestedCallEnded(call->parent->visit, reply.costs);
   }
   if (reply.outcome == Outcome::kCompleted && answer != nullptr) {
+    if (ReadBackendNotice(*answer, this->dialect).is_leaving) {
+      this->fleet.RecordStatedLeaving(node);
+    }
     if (answer->status < http_status::kServerErrors) {
       this->response_sizes.RecordSize(call->route->name, answer->body.size());
     }
--- a/libraries/calls/visit_gate.cc
+++ b/libraries/calls/visit_gate.cc
@@ -107,8 +107,12 @@
   this->RefuseQueued(now, Reason::kLeaving);
 }
 
+bool VisitGate::IsBackendLeaving() const {
+  return this->entry && (this->entry->leaving || this->notice.is_leaving);
+}
+
 Reason VisitGate::ClosedReason() const {
-  if (this->stopping || (this->entry && this->entry->leaving)) {
+  if (this->stopping || this->IsBackendLeaving()) {
     return Reason::kLeaving;
   }
   if (!this->entry || !this->reachable) {
@@ -395,7 +399,7 @@
       .running = static_cast<std::uint32_t>(this->queue.Running()),
       .queued = static_cast<std::uint32_t>(this->queue.Queued()),
       .limit = static_cast<std::uint32_t>(this->queue.Limit()),
-      .leaving = this->stopping || (this->entry && this->entry->leaving),
+      .leaving = this->stopping || this->IsBackendLeaving(),
       .backend_up = this->entry.has_value() && this->reachable,
       .service_time = is_known ? this->queue.ServiceTime() : Duration{},
       .slowness = this->times.Slowness(now).value_or(0),
--- a/libraries/calls/visit_gate.h
+++ b/libraries/calls/visit_gate.h
@@ -150,6 +150,8 @@
     std::vector<decision::ServiceCost> costs;  // Of its nested calls.
   };
 
+  // By its entry in the platform's list, or by its own statement.
+  bool IsBackendLeaving() const;
   decision::Reason ClosedReason() const;
   // Expected wait of a visit of this priority until it may start.
   Duration ExpectedWait(Instant now, int priority) const;
--- a/libraries/calls/visit_gate_responses.cc
+++ b/libraries/calls/visit_gate_responses.cc
@@ -32,12 +32,18 @@
   if (new_notice.has_invalid_rate_limit) {
     new_notice.rate_limit = this->notice.rate_limit;
   }
+  // Responses may arrive in another order than they were made in, and a backend
+  // server that has begun to shut down doesn't stop doing so.
+  new_notice.is_leaving |= this->notice.is_leaving;
   this->rate_limit.SetStatedRate(now, new_notice.rate_limit);
   if (new_notice == this->notice) {
     return;
   }
   this->notice = new_notice;
   this->output.OnBackendNotice(this->notice);
+  if (this->notice.is_leaving) {
+    this->RefuseQueued(now, Reason::kLeaving);
+  }
 }
 
 void VisitGate::HandleResponse(Instant now, VisitNumber number, Answer answer) {
--- a/libraries/membership/fleet.cc
+++ b/libraries/membership/fleet.cc
@@ -30,6 +30,10 @@
 
 constexpr std::size_t kAggregatorsPerDomain = 2;
 
+// Maximum number of leaving backend servers to remember. Each address is
+// remembered until the next backend server starts there.
+constexpr std::size_t kMaxStatedLeaving = 4096;
+
 // Weight of the latest reply in the moving average of failures.
 constexpr double kFailureWeight = 0.08;
 
@@ -78,6 +82,8 @@
       node.warmup_until = now + entry.warmup_remaining;
     }
     node.started_at = entry.started_at;
+    node.instance = entry.id;
+    this->ApplyStatedLeaving(node);
   }
   this->RemoveUnlistedNodes(now);
   this->by_service.clear();
@@ -96,6 +102,38 @@
   std::sort(this->own_domain_nodes.begin(), this->own_domain_nodes.end());
 }
 
+void Fleet::RecordStatedLeaving(NodeAddress address) {
+  auto& node = this->FindOrAdd(address);
+  if (this->stated_leaving.size() >= kMaxStatedLeaving) {
+    // The one that started first is the most likely to be gone.
+    this->stated_leaving.erase(std::min_element(
+        this->stated_leaving.begin(), this->stated_leaving.end(),
+        [](const auto& left, const auto& right) {
+          return left.second.started_at < right.second.started_at;
+        }));
+  }
+  this->stated_leaving[address] = {.instance = node.instance,
+                                   .started_at = node.started_at};
+  node.stated_leaving = true;
+}
+
+void Fleet::ApplyStatedLeaving(FleetNode& node) {
+  const auto stated = this->stated_leaving.find(node.node);
+  if (stated == this->stated_leaving.end()) {
+    node.stated_leaving = false;
+    return;
+  }
+  // An entry that is older than the statement says nothing about it.
+  const auto& leaving = stated->second;
+  const bool is_later = node.started_at > leaving.started_at ||
+                        (node.started_at == leaving.started_at &&
+                         node.instance != leaving.instance);
+  if (is_later) {
+    this->stated_leaving.erase(stated);
+  }
+  node.stated_leaving = !is_later;
+}
+
 void Fleet::RemoveUnlistedNodes(Instant now) {
   std::erase_if(this->nodes, [&](const auto& item) {
     const auto& node = item.second;
--- a/libraries/membership/fleet.h
+++ b/libraries/membership/fleet.h
@@ -27,9 +27,12 @@
   std::string service;
   std::string failure_domain;
   int slots = 1;
-  std::uint64_t started_at = 0;  // Of the backend server, from the list.
+  std::string instance;          // Of the backend server, from the list.
+  std::uint64_t started_at = 0;  // The same.
   bool listed = false;           // Is in the platform's list.
   bool listed_as_leaving = false;
+  // Its backend server has stated so in a response to this node.
+  bool stated_leaving = false;
   Instant warmup_until{};
 
   // Reported by the node itself; takes precedence over the list.
@@ -98,6 +101,10 @@
   // Records the node's reply to an attempt. `failed` is true when the backend
   // server failed to process it.
   void AttemptReplied(Instant now, NodeAddress node, bool failed);
+  // Records that the node's backend server stated in a response that it is
+  // leaving. It stays so until another incarnation is listed there, even if the
+  // node restarts or its entry is removed and returns.
+  void RecordStatedLeaving(NodeAddress node);
   // Records the end of an attempt without a reply. `is_unresponsive` is true
   // when the node had enough time to reply, so that the attempt counts as lost.
   void AttemptEnded(Instant now, NodeAddress node, bool is_unresponsive);
@@ -138,6 +145,7 @@
  private:
   FleetNode& FindOrAdd(NodeAddress node);
   void RemoveUnlistedNodes(Instant now);
+  void ApplyStatedLeaving(FleetNode& node);
   bool MayAggregate(Instant now, const FleetNode& node) const;
 
   Options options;
@@ -145,6 +153,12 @@
   std::unordered_map<NodeAddress, FleetNode> nodes;
   std::map<std::string, std::vector<NodeAddress>, std::less<>> by_service;
   std::vector<NodeAddress> own_domain_nodes;
+  // Backend servers that stated that they are leaving.
+  struct LeavingInstance {
+    std::string instance;
+    std::uint64_t started_at = 0;
+  };
+  std::map<NodeAddress, LeavingInstance> stated_leaving;
 };
 
 }  // namespace agaterun::membership
--- a/libraries/proxy/node_state.cc
+++ b/libraries/proxy/node_state.cc
@@ -11,7 +11,8 @@
                       {"service", node.service},
                       {"failure_domain", node.failure_domain},
                       {"listed", node.listed},
-                      {"leaving", node.load.leaving || node.listed_as_leaving},
+                      {"leaving", node.load.leaving || node.listed_as_leaving ||
+                                      node.stated_leaving},
                       {"backend_up", node.load.backend_up},
                       {"running", node.load.running},
                       {"queued", node.load.queued},
--- a/libraries/proxy/proxy_node.cc
+++ b/libraries/proxy/proxy_node.cc
@@ -304,6 +304,9 @@
        {"rate_limit",
         notice.rate_limit ? std::to_string(*notice.rate_limit) : "-"},
        {"leaving", notice.is_leaving ? "yes" : "no"}});
+  if (notice.is_leaving) {
+    this->BroadcastOwnLoad();
+  }
 }
 
 void ProxyNode::ReportVisit(LogEvent event,
--- a/libraries/routing/endpoint_chooser.cc
+++ b/libraries/routing/endpoint_chooser.cc
@@ -126,7 +126,7 @@
       return false;
     }
   }
-  if (node.listed_as_leaving) {
+  if (node.listed_as_leaving || node.stated_leaving) {
     return false;
   }
   if (!node.listed && !node.load_reported_at) {
--- a/tests/calls/call_origin_test.cc
+++ b/tests/calls/call_origin_test.cc
@@ -665,6 +665,28 @@
   BOOST_TEST(this->ResponseStatus(301) == 429);
 }
 
+// Guards against requests that this node sends to a backend server after it has
+// passed on a response in which that server states that it is leaving: its node
+// may have restarted and not know.
+BOOST_FIXTURE_TEST_CASE(SendsNothingToABackendServerThatStatedItsLeaving,
+                        Fixture) {
+  this->SendRequest(1, "/read/1");
+  const auto leaving = this->output.sent.back().to;
+  this->origin.OnReply(this->now,
+                       {.attempt = this->output.sent.back().visit.attempt,
+                        .outcome = Outcome::kCompleted,
+                        .load = this->load},
+                       std::make_shared<const HttpResponse>(HttpResponse{
+                           .status = 200, .headers = {{"Leaving", "1"}}}));
+  BOOST_TEST(this->ResponseStatus(1) == 200);
+  for (decision::CallId call = 2; call < 200; ++call) {
+    this->RecordMessagesOfAll();
+    this->SendRequest(call, "/read/1");
+    BOOST_TEST((this->output.sent.back().to != leaving));
+    this->DeliverReply(Outcome::kCompleted, Reason::kNone);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace agaterun::calls
--- a/tests/calls/visit_gate_test.cc
+++ b/tests/calls/visit_gate_test.cc
@@ -495,6 +495,42 @@
   BOOST_TEST(!this->gate.Notice().rate_limit.has_value());
 }
 
+// Guards against requests for a backend server that has stated in a response
+// that it is leaving, while the platform's list calls it ready.
+BOOST_FIXTURE_TEST_CASE(StatedLeavingClosesTheGate, NoticeFixture) {
+  this->Run(20ms, {});
+  this->SubmitVisit(500);
+  this->SubmitVisit(501);
+  this->Run(5ms, {{"Leaving", "1"}});
+  // A response that was made before may arrive later.
+  this->SubmitVisit(502);
+  BOOST_TEST((this->ReplyReason(502) == Reason::kLeaving));
+  BOOST_TEST(this->output.started.empty());
+  BOOST_TEST(this->gate.Load(this->now).leaving);
+  // The list is read again and is still old.
+  this->gate.SetEntry(this->now, *this->gate.Entry());
+  this->SubmitVisit(503);
+  BOOST_TEST((this->ReplyReason(503) == Reason::kLeaving));
+  // The next incarnation may have the same id.
+  auto next = *this->gate.Entry();
+  next.started_at += 1;
+  this->gate.SetEntry(this->now, next);
+  this->SubmitVisit(504);
+  BOOST_TEST(this->output.started.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(ResponseOfEarlierIncarnationClosesNothing,
+                        NoticeFixture) {
+  this->SubmitVisit(500);
+  auto next = *this->gate.Entry();
+  next.id = "i-2";
+  this->gate.SetEntry(this->now, next);
+  this->EndOldestExchange(ExchangeResult::kResponded,
+                          Response({{"Leaving", "1"}, {"Rate", "1"}}));
+  BOOST_TEST(!this->gate.Load(this->now).leaving);
+  BOOST_TEST(!this->gate.Notice().rate_limit.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace agaterun::calls
--- a/tests/membership/fleet_test.cc
+++ b/tests/membership/fleet_test.cc
@@ -75,6 +75,32 @@
   BOOST_TEST(this->fleet.Find(kNode)->in_flight == 0);
 }
 
+// Guards against requests for a backend server that has stated that it is
+// leaving, after its entry was removed and returned or its node restarted.
+BOOST_FIXTURE_TEST_CASE(StatedLeavingOutlastsListAndReports, Fixture) {
+  this->fleet.SetList(this->now, {Entry("a", 5)});
+  this->fleet.RecordStatedLeaving(kNode);
+  this->fleet.RecordLoad(this->now, kNode, {.leaving = false});
+  BOOST_TEST(this->fleet.Find(kNode)->stated_leaving);
+  this->now += 10s;
+  this->fleet.SetList(this->now, {});
+  BOOST_TEST((this->fleet.Find(kNode) == nullptr));
+  this->fleet.SetList(this->now, {Entry("a", 5)});
+  BOOST_TEST(this->fleet.Find(kNode)->stated_leaving);
+  // An older entry, such as one of a restored copy.
+  this->fleet.SetList(this->now, {Entry("before", 4)});
+  BOOST_TEST(this->fleet.Find(kNode)->stated_leaving);
+}
+
+BOOST_FIXTURE_TEST_CASE(NextIncarnationIsNotLeaving, Fixture) {
+  for (const auto& next : {Entry("a", 6), Entry("b", 6), Entry("b", 5)}) {
+    this->fleet.SetList(this->now, {Entry("a", 5)});
+    this->fleet.RecordStatedLeaving(kNode);
+    this->fleet.SetList(this->now, {next});
+    BOOST_TEST(!this->fleet.Find(kNode)->stated_leaving);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace agaterun::membership
