Membership: Revisions are ordered across restores of the platform's store

What callers would see: after a store came back from a copy some seconds old, an endpoint that registers next is not used by anyone, and one that leaves goes on getting requests, until the store has given out as many revisions as before.

Cause: revisions were compared as if they never went back. 'An unknown endpoint below the complete revision was removed' and 'a smaller revision is older' are both false then. Class of fault: an order taken from a counter whose lifetime is shorter than the state that it orders.

A revision now holds the store's era (how often it was restored, from a header of each response) in its upper bits, so that all comparisons, here and among nodes, hold across restores.

Both tests of restored_store_test.cc fail with the era left out (new endpoint never listed; leaving never seen) and pass now.

--- a/libraries/membership/directory_keeper.cc
+++ b/libraries/membership/directory_keeper.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "libraries/membership/revision.h"
+
 namespace agaterun::membership {
 
 namespace {
@@ -12,7 +14,12 @@
 
 }  // namespace
 
+void DirectoryKeeper::RecordRevision(Instant /*now*/, std::uint64_t revision) {
+  this->era = std::max(this->era, EraOf(revision));
+}
+
 bool DirectoryKeeper::ApplyList(Instant now, const EndpointList& list) {
+  this->RecordRevision(now, list.revision);
   const bool changed = this->directory.ApplyList(list);
   if (list.is_current &&
       this->reader_election.Mode() == ReadingMode::kWatching) {
@@ -23,6 +30,7 @@
 
 bool DirectoryKeeper::ApplyChanges(Instant now,
                                    const EndpointChanges& changes) {
+  this->RecordRevision(now, changes.revision);
   const bool changed = this->directory.ApplyChanges(changes);
   if (this->reader_election.Mode() == ReadingMode::kWatching) {
     this->reader_election.RecordOwnReading(now, changes.changes_followed_for);
@@ -30,7 +38,10 @@
   return changed;
 }
 
-bool DirectoryKeeper::ApplyLocalEndpoint(const LocalEndpoint& endpoint) {
+bool DirectoryKeeper::ApplyLocalEndpoint(Instant now,
+                                         const LocalEndpoint& endpoint) {
+  this->RecordRevision(
+      now, endpoint.entry ? endpoint.entry->revision : endpoint.revision);
   if (endpoint.entry) {
     return this->directory.ApplyEntry(*endpoint.entry);
   }
@@ -41,7 +52,9 @@
                                       std::max(endpoint.revision, known_at));
 }
 
-bool DirectoryKeeper::UpdateFromPeer(const EndpointChanges& changes) {
+bool DirectoryKeeper::UpdateFromPeer(Instant now,
+                                     const EndpointChanges& changes) {
+  this->RecordRevision(now, changes.revision);
   if (!changes.is_full_list) {
     return this->directory.ApplyChanges(changes);
   }
@@ -52,6 +65,7 @@
 void DirectoryKeeper::ProcessHeartbeat(Instant now,
                                        const decision::Heartbeat& heartbeat,
                                        bool same_configuration) {
+  this->RecordRevision(now, heartbeat.directory_revision);
   this->reader_election.RecordReader(now, heartbeat.from, heartbeat.reading);
   if (heartbeat.directory_digest != this->directory.Digest()) {
     this->differs_since = this->differs_since.value_or(now);
--- a/libraries/membership/directory_keeper.h
+++ b/libraries/membership/directory_keeper.h
@@ -20,13 +20,13 @@
   // the digest of the directory changed.
   bool ApplyList(Instant now, const EndpointList& list);
   bool ApplyChanges(Instant now, const EndpointChanges& changes);
-  bool ApplyLocalEndpoint(const LocalEndpoint& endpoint);
+  bool ApplyLocalEndpoint(Instant now, const LocalEndpoint& endpoint);
   void SetReached(Instant now, bool reached) {
     this->reader_election.SetReached(now, reached);
   }
 
   // Applies changes received from another node.
-  bool UpdateFromPeer(const EndpointChanges& changes);
+  bool UpdateFromPeer(Instant now, const EndpointChanges& changes);
 
   // Processes a heartbeat of another node of this failure domain.
   // `same_configuration` is true when the sender has the configuration that is
@@ -58,9 +58,16 @@
 
   const Directory& Endpoints() const { return this->directory; }
 
+  // How often the platform's service was restored from a copy, as far as known.
+  std::uint64_t Era() const { return this->era; }
+
  private:
+  // Detects a restore by the era of a revision that was read or received.
+  void RecordRevision(Instant now, std::uint64_t revision);
+
   Directory directory;
   ReaderElection reader_election;
+  std::uint64_t era = 0;
   // Time since which another node's digest differs; nullopt while the last one
   // received is equal.
   std::optional<Instant> differs_since;
--- a/libraries/membership/directory_source.h
+++ b/libraries/membership/directory_source.h
@@ -35,8 +35,9 @@
 // All endpoints that the platform lists.
 struct EndpointList {
   std::vector<EndpointEntry> entries;
-  std::uint64_t revision = 0;  // Of the platform's service, when read.
-  bool is_current = true;      // False if it may be seconds old.
+  // Of the platform's service, when read; see revision.h.
+  std::uint64_t revision = 0;
+  bool is_current = true;  // False if it may be seconds old.
   // Changes within this time arrive without delay, since a request for them is
   // pending at the platform.
   Duration changes_followed_for{};
@@ -65,7 +66,8 @@
   std::string id;  // Requested id.
   // Nullopt when the entry has been removed.
   std::optional<EndpointEntry> entry;
-  std::uint64_t revision = 0;  // Of the removal; 0 if unknown.
+  // Of the removal; only its era if the rest is unknown.
+  std::uint64_t revision = 0;
 };
 
 // Receives the state that the platform publishes.
--- a/libraries/membership/endpoint_entry.h
+++ b/libraries/membership/endpoint_entry.h
@@ -19,7 +19,7 @@
   bool leaving = false;
   Duration warmup_remaining{};   // Zero when the endpoint is warm.
   std::uint64_t started_at = 0;  // Unix milliseconds; 0 if unknown.
-  std::uint64_t revision = 0;    // Of the platform, at the change.
+  std::uint64_t revision = 0;    // Of the change; see revision.h.
 
   template <class Archive>
   void serialize(Archive& archive) {
--- a/libraries/proxy/proxy_node.cc
+++ b/libraries/proxy/proxy_node.cc
@@ -368,6 +368,7 @@
     this->fleet.SetList(now, this->directory.Endpoints().Entries());
   }
   this->UpdateReadingMode();
+  this->LogRestore();
   this->UpdateKeysConfirmed(now);
   this->AdvancePlannedStop();
   this->tick_timer.expires_after(kTickInterval);
--- a/libraries/proxy/proxy_node.h
+++ b/libraries/proxy/proxy_node.h
@@ -156,6 +156,8 @@
   void RequestNewerState(const decision::Heartbeat& heartbeat);
   void RequestState(NodeAddress peer);
   void UpdateReadingMode();
+  // Logs a restore of the platform's service that has become known.
+  void LogRestore();
   // With strict keys, requests that need a key are refused while the state of
   // the platform is too old.
   void UpdateKeysConfirmed(Instant now);
@@ -228,6 +230,7 @@
   std::map<membership::HeartbeatKind, HeartbeatDemand> heartbeat_demand;
   Instant next_fleet_check{};
   std::optional<bool> platform_reached;  // Result of the last read.
+  std::uint64_t platform_era = 0;        // As logged last.
   PlannedStop planned_stop;
 
   std::unique_ptr<node::NodeLinks> links;
--- a/libraries/proxy/proxy_node_fleet.cc
+++ b/libraries/proxy/proxy_node_fleet.cc
@@ -114,7 +114,7 @@
     }
   }
   if (const auto changes = membership::StateGossip::ReadEndpoints(items);
-      changes && this->directory.UpdateFromPeer(*changes)) {
+      changes && this->directory.UpdateFromPeer(this->Now(), *changes)) {
     this->ApplyEndpoints();
   }
 }
--- a/libraries/proxy/proxy_node_platform.cc
+++ b/libraries/proxy/proxy_node_platform.cc
@@ -38,7 +38,7 @@
 }
 
 void ProxyNode::OnLocalEndpoint(membership::LocalEndpoint endpoint) {
-  if (this->directory.ApplyLocalEndpoint(endpoint)) {
+  if (this->directory.ApplyLocalEndpoint(this->Now(), endpoint)) {
     this->ApplyEndpoints();
   }
   this->UpdateLocalEntry(/*is_authoritative=*/true);
@@ -72,6 +72,16 @@
   this->source->SetMode(mode);
 }
 
+void ProxyNode::LogRestore() {
+  if (this->directory.Era() == this->platform_era) {
+    return;
+  }
+  this->platform_era = this->directory.Era();
+  Log(LogEvent::kPlatformRestored,
+      {{"restores", std::to_string(this->platform_era)},
+       {"configuration", std::to_string(this->gossip.Version())}});
+}
+
 void ProxyNode::UpdateKeysConfirmed(Instant now) {
   const auto age = this->directory.Age(now);
   this->origin.SetKeysConfirmed(!this->settings.strict_keys ||
--- a/tests/fakes/store/fake_store.cc
+++ b/tests/fakes/store/fake_store.cc
@@ -75,6 +75,28 @@
   this->RespondToWatches();
 }
 
+void FakeStore::RestoreAt(std::uint64_t old_revision) {
+  std::erase_if(this->history, [&](const Event& event) {
+    return event.revision > old_revision;
+  });
+  this->items.clear();
+  for (const auto& event : this->history) {
+    if (event.deleted) {
+      this->items.erase(event.key);
+    } else {
+      this->items[event.key] = event;
+    }
+  }
+  this->revision = old_revision;
+  ++this->era;
+  this->pending_watches.clear();
+}
+
+void FakeStore::Respond(decision::CallId call, HttpResponse response) {
+  response.headers.push_back({"Store-Era", std::to_string(this->era)});
+  this->listener.Respond(call, response);
+}
+
 void FakeStore::DropHistory() {
   this->oldest_revision = ++this->revision;
   this->history.clear();
@@ -90,18 +112,18 @@
   if (this->failure_status != 0) {
     this->failed_paths.push_back(
         request.target.substr(0, request.target.find('?')));
-    this->listener.Respond(call, {.status = this->failure_status});
+    this->Respond(call, {.status = this->failure_status});
     return;
   }
   const auto query = QueryOf(request.target);
   const auto path = request.target.substr(0, request.target.find('?'));
   if (path == "/-/kv-key") {
     ++this->read_count;
-    this->listener.Respond(call, this->ItemResponse(query));
+    this->Respond(call, this->ItemResponse(query));
   } else if (path == "/-/kv-range") {
     ++(query.contains("AllowStale") ? this->stale_read_count
                                     : this->read_count);
-    this->listener.Respond(call, this->RangeResponse(query));
+    this->Respond(call, this->RangeResponse(query));
   } else if (path == "/-/kv-watch") {
     ++this->watch_count;
     this->pending_watches.push_back({.call = call,
@@ -109,7 +131,7 @@
                                      .after = std::stoull(query.at("after"))});
     this->RespondToWatches();
   } else {
-    this->listener.Respond(call, {.status = 404});
+    this->Respond(call, {.status = 404});
   }
 }
 
@@ -159,7 +181,7 @@
 
 std::optional<HttpResponse> FakeStore::WatchResponse(
     const PendingWatch& entry) {
-  if (entry.after < this->oldest_revision) {
+  if (entry.after < this->oldest_revision || entry.after > this->revision) {
     return HttpResponse{.status = 410};
   }
   Json events = Json::array();
@@ -192,7 +214,7 @@
       const auto call = this->pending_watches[index].call;
       this->pending_watches.erase(this->pending_watches.begin() +
                                   static_cast<std::ptrdiff_t>(index));
-      this->listener.Respond(call, *response);
+      this->Respond(call, *response);
     } else {
       ++index;
     }
--- a/tests/fakes/store/fake_store.h
+++ b/tests/fakes/store/fake_store.h
@@ -22,6 +22,10 @@
 
   void Put(const std::string& key, const std::string& value);
   void Delete(const std::string& key);
+  // Restores the items as they were at a revision. Later revisions are given
+  // out again, and the era rises by one.
+  void RestoreAt(std::uint64_t old_revision);
+  std::uint64_t Revision() const { return this->revision; }
   // Watches that start at an earlier revision then receive 410.
   void DropHistory();
   // All requests receive this status instead of a response; 0 turns it off.
@@ -59,6 +63,7 @@
                  HttpRequest request,
                  NodeAddress caller) override;
   void OnCallerDisconnected(decision::CallId call) override;
+  void Respond(decision::CallId call, HttpResponse response);
   HttpResponse ItemResponse(const std::map<std::string, std::string>& query);
   HttpResponse RangeResponse(const std::map<std::string, std::string>& query);
   std::optional<HttpResponse> WatchResponse(const PendingWatch& entry);
@@ -71,6 +76,7 @@
   std::vector<Event> history;
   std::uint64_t revision = 100;
   std::uint64_t oldest_revision = 0;
+  std::uint64_t era = 1;
   std::vector<PendingWatch> pending_watches;
   int failure_status = 0;
   std::vector<std::string> failed_paths;
--- a/tests/membership/directory_keeper_test.cc
+++ b/tests/membership/directory_keeper_test.cc
@@ -124,8 +124,9 @@
     to.keeper.ProcessHeartbeat(this->now, heartbeat,
                                /*same_configuration=*/true);
     if (to.keeper.ShouldQuery(this->now, heartbeat)) {
-      to.keeper.UpdateFromPeer(from.keeper.Endpoints().ChangesSince(
-          to.keeper.QuerySinceRevision(this->now)));
+      to.keeper.UpdateFromPeer(this->now,
+                               from.keeper.Endpoints().ChangesSince(
+                                   to.keeper.QuerySinceRevision(this->now)));
       to.fleet.SetList(this->now, to.keeper.Endpoints().Entries());
     }
   }
--- /dev/null
+++ b/tests/platform_adapter/restored_store_test.cc
@@ -0,0 +1,126 @@
+#include <boost/test/unit_test.hpp>
+
+#include "libraries/membership/directory_keeper.h"
+#include "platform/store_reader.h"
+#include "tests/fakes/run_until.h"
+#include "tests/fakes/store/fake_store.h"
+
+// A store that comes back from a copy and gives out revisions again.
+namespace agaterun::platform_adapter {
+
+BOOST_AUTO_TEST_SUITE(RestoredStoreTest)
+
+std::string Configuration(int version) {
+  return R"({"Version":)" + std::to_string(version) + R"(,"Resources":[]})";
+}
+
+std::string Endpoint(const char* state, int started_at = 7) {
+  return std::string(R"({"Service":"one","Address":"10.0.0.9:8080",)") +
+         R"("Zone":"a","Version":"v1","Slots":9,"State":")" + state +
+         R"(","ColdLeft":"0ms","Seq":4,"born":)" + std::to_string(started_at) +
+         "}";
+}
+
+// The directory of a node that reads the store for its failure domain.
+struct Fixture : membership::DirectoryObserver {
+  void OnConfiguration(
+      std::shared_ptr<const routing::Configuration> configuration,
+      std::string /*text*/) override {
+    this->version = std::max(this->version, configuration->version);
+  }
+  void OnEndpointList(membership::EndpointList list) override {
+    this->keeper.ApplyList(this->now, list);
+    ++this->lists;
+  }
+  void OnEndpointChanges(membership::EndpointChanges changes) override {
+    this->keeper.ApplyChanges(this->now, changes);
+  }
+  void OnLocalEndpoint(membership::LocalEndpoint endpoint) override {
+    this->keeper.ApplyLocalEndpoint(this->now, endpoint);
+    ++this->local_reads;
+  }
+  void OnMalformedConfiguration(std::string /*why*/) override {}
+  void OnPlatformReachabilityChanged(bool /*reached*/,
+                                     std::string /*why*/) override {}
+
+  bool RunUntil(const std::function<bool()>& done) {
+    return fakes::RunUntil(this->io, done);
+  }
+
+  // Starts to read with a store at revision 110 of which 101 is the copy's.
+  void StartWatching() {
+    this->store.Put("op/config", Configuration(3));
+    this->copy_revision = this->store.Revision();
+    for (int change = 0; change < 9; ++change) {
+      this->store.Put("op/other", std::to_string(change));
+    }
+    this->Start();
+  }
+
+  void Start() {
+    this->reader.Start();
+    this->reader.SetMode(membership::ReadingMode::kWatching);
+    BOOST_TEST(this->RunUntil(
+        [&] { return this->lists > 0 && this->store.WatchCount() >= 2; }));
+  }
+
+  // The endpoint's entry in the directory; nullopt without one.
+  std::optional<membership::EndpointEntry> Find(const std::string& id) const {
+    for (const auto& entry : this->keeper.Endpoints().Entries()) {
+      if (entry.id == id) {
+        return entry;
+      }
+    }
+    return std::nullopt;
+  }
+
+  Instant now = 100s;
+  std::uint64_t copy_revision = 0;
+  std::uint64_t version = 0;
+  int lists = 0;
+  int local_reads = 0;
+  asio::io_context io{1};
+  fakes::FakeStore store{this->io};
+  SeededRandom random{4};
+  membership::DirectoryKeeper keeper{{.ip = 1, .port = 7300}};
+  StoreReader reader{this->io,
+                     {.store = this->store.Address(),
+                      .local_endpoint_wait = 100ms,
+                      .configuration_wait = 100ms,
+                      .configuration_wait_per_endpoint = 0ms,
+                      .list_interval = 20ms,
+                      .watch_pause = 1ms,
+                      .watch_wait = 100ms,
+                      .watching_configuration_wait = 100ms,
+                      .response_timeout = 100ms,
+                      .retry_interval = 20ms,
+                      .max_retry_interval = 40ms},
+                     this->random,
+                     *this};
+};
+
+// Guards against endpoints that count as removed because they register after
+// the restore at a revision that had been given out before.
+BOOST_FIXTURE_TEST_CASE(EndpointThatRegistersAfterTheRestoreIsListed, Fixture) {
+  this->StartWatching();
+  this->store.RestoreAt(this->copy_revision);
+  this->store.Put("servers/new", Endpoint("ready"));
+  BOOST_TEST(this->RunUntil([&] { return this->Find("new").has_value(); }));
+}
+
+// Guards against a change of a known endpoint that is ignored as older.
+BOOST_FIXTURE_TEST_CASE(EndpointThatLeavesAfterTheRestoreIsLeaving, Fixture) {
+  this->store.Put("servers/one", Endpoint("ready"));
+  this->copy_revision = this->store.Revision();
+  this->store.Put("op/other", "x");
+  this->store.Put("servers/one", Endpoint("ready"));
+  this->store.Put("op/other", "y");
+  this->Start();
+  this->store.RestoreAt(this->copy_revision);
+  this->store.Put("servers/one", Endpoint("draining"));
+  BOOST_TEST(this->RunUntil([&] { return this->Find("one")->leaving; }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace agaterun::platform_adapter
