--- a/libraries/membership/revision.h
+++ b/libraries/membership/revision.h
@@ -5,10 +5,10 @@
 
 namespace agaterun::membership {
 
-// A revision of the platform's service is the number of a change. A service that
-// is restored from a copy gives out numbers again, so revisions also hold how
-// often it was restored, its era, in the upper bits. They are ordered by time
-// across restores. In the first era a revision equals its number.
+// A revision of the platform's service is the number of a change. A service
+// that is restored from a copy gives out numbers again, so revisions also hold
+// how often it was restored, its era, in the upper bits. They are ordered by
+// time across restores. In the first era a revision equals its number.
 inline constexpr int kRevisionNumberBits = 40;
 inline constexpr std::uint64_t kMaxRevisionNumber =
     (std::uint64_t{1} << kRevisionNumberBits) - 1;
--- a/tests/fakes/store/fake_store.cc
+++ b/tests/fakes/store/fake_store.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "tests/fakes/free_port.h"
 
@@ -207,6 +208,16 @@
   return JsonResponse({{"events", events}, {"CurrentRev", this->revision}});
 }
 
+void FakeStore::ExpireWatches() {
+  for (const auto& entry : std::exchange(this->pending_watches, {})) {
+    const bool is_gone = entry.after > this->revision;
+    this->Respond(entry.call,
+                  is_gone ? HttpResponse{.status = 410}
+                          : JsonResponse({{"events", Json::array()},
+                                          {"CurrentRev", this->revision}}));
+  }
+}
+
 void FakeStore::RespondToWatches() {
   for (std::size_t index = 0; index < this->pending_watches.size();) {
     if (auto response = this->WatchResponse(this->pending_watches[index]);
--- a/tests/fakes/store/fake_store.h
+++ b/tests/fakes/store/fake_store.h
@@ -34,6 +34,8 @@
   void SetUnresponsive(bool is_unresponsive) {
     this->unresponsive = is_unresponsive;
   }
+  // Responds without events to pending watches, as when their wait has passed.
+  void ExpireWatches();
   // Pending watches never receive a response.
   void DropWatches() { this->pending_watches.clear(); }
   // Sets the maximum number of items per page.
--- a/tests/platform_adapter/restored_store_test.cc
+++ b/tests/platform_adapter/restored_store_test.cc
@@ -44,7 +44,10 @@
                                      std::string /*why*/) override {}
 
   bool RunUntil(const std::function<bool()>& done) {
-    return fakes::RunUntil(this->io, done);
+    return fakes::RunUntil(this->io, [&] {
+      this->store.ExpireWatches();
+      return done();
+    });
   }
 
   // Starts to read with a store at revision 110 of which 101 is the copy's.
@@ -121,6 +124,33 @@
   BOOST_TEST(this->RunUntil([&] { return this->Find("one")->leaving; }));
 }
 
+// Guards against a watch that continues at a revision that the restored store
+// has given out again, and so misses the configuration before it.
+BOOST_FIXTURE_TEST_CASE(ConfigurationBelowARevisionGivenOutAgainIsRead,
+                        Fixture) {
+  this->StartWatching();
+  BOOST_TEST(this->RunUntil([&] { return this->version == 3; }));
+  this->store.RestoreAt(this->copy_revision);
+  this->store.Put("op/config", Configuration(5));
+  for (int change = 0; change < 20; ++change) {
+    this->store.Put("op/other", std::to_string(change));
+  }
+  BOOST_TEST(this->RunUntil([&] { return this->version == 5; }));
+}
+
+// The same for the entries of endpoints: the reader of a failure domain would
+// report its state as up to date.
+BOOST_FIXTURE_TEST_CASE(EntryBelowARevisionGivenOutAgainIsRead, Fixture) {
+  this->store.Put("servers/one", Endpoint("ready"));
+  this->StartWatching();
+  this->store.RestoreAt(this->copy_revision);
+  this->store.Put("servers/one", Endpoint("draining"));
+  for (int change = 0; change < 20; ++change) {
+    this->store.Put("op/other", std::to_string(change));
+  }
+  BOOST_TEST(this->RunUntil([&] { return this->Find("one")->leaving; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace agaterun::platform_adapter
