Membership: A restored copy does not replace what is known to be later

What callers would see after a restore: an endpoint that had left, or was leaving, gets requests again until its entry is corrected; one that registered in the lost seconds is dropped by everyone until it registers again.

Cause: the list of the copy was applied as the newest state. Class of fault: a source that is authoritative as a rule is taken so in the one case where its readers know more. For 2.5 s after a restore becomes known (shorter than the 3 s after which the service counts as stable) lists, single entries and what other nodes have read only add endpoints, later incarnations and leaving; changes that the store reports after the restore apply as ever. Then the reader lists again and that list holds. A leaving incarnation never becomes ready again.

Ways compared: the endpoints' own counters (not on the wire between nodes, and the store does not report each), and comparing an entry's number with the removal's (ambiguous when numbers are given out again). A fixed time needs neither.

EndpointThatTheCopyLacksStaysUntilItRegistersAgain and EndpointThatLeftDoesNotReturnWithTheCopy fail without the change.

--- a/libraries/membership/directory.cc
+++ b/libraries/membership/directory.cc
@@ -28,13 +28,17 @@
 
 }  // namespace
 
-bool Directory::ApplyEntry(const EndpointEntry& entry) {
+bool Directory::ApplyEntry(EndpointEntry entry) {
   const auto known = this->entries.find(entry.id);
   if (known != this->entries.end()) {
     auto& [stored, changed_at] = known->second;
     if (entry.revision < stored.revision) {
       return false;
     }
+    // An incarnation that leaves does not become ready again; an entry that
+    // says so comes from a restored copy.
+    entry.leaving |= stored.leaving && entry.started_at != 0 &&
+                     entry.started_at == stored.started_at;
     const auto before = HashOf(stored);
     const auto after = HashOf(entry);
     stored = entry;
@@ -55,6 +59,23 @@
   return true;
 }
 
+bool Directory::MergeEntries(const std::vector<EndpointEntry>& restored) {
+  bool changed = false;
+  for (const auto& entry : restored) {
+    const auto known = this->entries.find(entry.id);
+    if (known == this->entries.end()) {
+      changed |= !this->removed.contains(entry.id) && this->ApplyEntry(entry);
+      continue;
+    }
+    const auto& stored = known->second.entry;
+    if (entry.started_at > stored.started_at ||
+        (entry.started_at == stored.started_at && entry.leaving)) {
+      changed |= this->ApplyEntry(entry);
+    }
+  }
+  return changed;
+}
+
 bool Directory::ApplyRemoval(const std::string& id, std::uint64_t revision) {
   const auto known = this->entries.find(id);
   if (known != this->entries.end() && known->second.entry.revision > revision) {
--- a/libraries/membership/directory.h
+++ b/libraries/membership/directory.h
@@ -18,7 +18,7 @@
  public:
   // The following return true when something changed that is part of the
   // digest, that is, anything but revisions and warm-up times.
-  bool ApplyEntry(const EndpointEntry& entry);
+  bool ApplyEntry(EndpointEntry entry);
   bool ApplyRemoval(const std::string& id, std::uint64_t revision);
   // Applies a list of all entries at its revision. Entries that it lacks were
   // removed.
@@ -26,6 +26,12 @@
 
   bool ApplyChanges(const EndpointChanges& changes);
 
+  // Applies entries that may be older than the known ones although their
+  // revisions are later, since they may come from the copy of a service that
+  // was restored: adds endpoints and incarnations that were not known before,
+  // and marks those that leave. Known removals stay.
+  bool MergeEntries(const std::vector<EndpointEntry>& restored);
+
   // Records that all changes up to this revision have been applied.
   void SetCompleteRevision(std::uint64_t revision);
   std::uint64_t CompleteRevision() const { return this->complete_revision; }
--- a/libraries/membership/directory_keeper.cc
+++ b/libraries/membership/directory_keeper.cc
@@ -14,13 +14,26 @@
 
 }  // namespace
 
-void DirectoryKeeper::RecordRevision(Instant /*now*/, std::uint64_t revision) {
-  this->era = std::max(this->era, EraOf(revision));
+void DirectoryKeeper::RecordRevision(Instant now, std::uint64_t revision) {
+  if (EraOf(revision) <= this->era) {
+    return;
+  }
+  this->era = EraOf(revision);
+  // A node without a list has nothing that could be later than the copy.
+  if (this->directory.CompleteRevision() > 0) {
+    this->restored_at = now;
+  }
+}
+
+bool DirectoryKeeper::IsReregistering(Instant now) const {
+  return this->restored_at && now - *this->restored_at < kReregistrationTime;
 }
 
 bool DirectoryKeeper::ApplyList(Instant now, const EndpointList& list) {
   this->RecordRevision(now, list.revision);
-  const bool changed = this->directory.ApplyList(list);
+  const bool changed = this->IsReregistering(now)
+                           ? this->directory.MergeEntries(list.entries)
+                           : this->directory.ApplyList(list);
   if (list.is_current &&
       this->reader_election.Mode() == ReadingMode::kWatching) {
     this->reader_election.RecordOwnReading(now, list.changes_followed_for);
@@ -43,7 +56,13 @@
   this->RecordRevision(
       now, endpoint.entry ? endpoint.entry->revision : endpoint.revision);
   if (endpoint.entry) {
-    return this->directory.ApplyEntry(*endpoint.entry);
+    return this->IsReregistering(now)
+               ? this->directory.MergeEntries({*endpoint.entry})
+               : this->directory.ApplyEntry(*endpoint.entry);
+  }
+  const bool is_removal = NumberInEra(endpoint.revision) != 0;
+  if (!is_removal && this->IsReregistering(now)) {
+    return false;
   }
   // A read that finds no entry may return no revision. It is later than the
   // known entry.
@@ -55,6 +74,13 @@
 bool DirectoryKeeper::UpdateFromPeer(Instant now,
                                      const EndpointChanges& changes) {
   this->RecordRevision(now, changes.revision);
+  if (this->IsReregistering(now)) {
+    bool changed = this->directory.MergeEntries(changes.entries);
+    for (const auto& [id, revision] : changes.removed) {
+      changed |= this->directory.ApplyRemoval(id, revision);
+    }
+    return changed;
+  }
   if (!changes.is_full_list) {
     return this->directory.ApplyChanges(changes);
   }
--- a/libraries/membership/directory_keeper.h
+++ b/libraries/membership/directory_keeper.h
@@ -64,10 +64,14 @@
  private:
   // Detects a restore by the era of a revision that was read or received.
   void RecordRevision(Instant now, std::uint64_t revision);
+  // True while the platform's service may hold an earlier state than this node,
+  // since endpoints have not had time to register again after a restore.
+  bool IsReregistering(Instant now) const;
 
   Directory directory;
   ReaderElection reader_election;
   std::uint64_t era = 0;
+  std::optional<Instant> restored_at;  // When the restore became known.
   // Time since which another node's digest differs; nullopt while the last one
   // received is equal.
   std::optional<Instant> differs_since;
--- a/libraries/membership/revision.h
+++ b/libraries/membership/revision.h
@@ -3,6 +3,8 @@
 
 #include <cstdint>
 
+#include "libraries/base/time.h"
+
 namespace agaterun::membership {
 
 // A revision of the platform's service is the number of a change. A service
@@ -28,6 +30,11 @@
   return revision & kMaxRevisionNumber;
 }
 
+// After a restore, endpoints that the copy lacks or lists in an earlier state
+// have registered again within this time. It is shorter than the time after
+// which the service counts as stable.
+inline constexpr Duration kReregistrationTime = 2500ms;
+
 }  // namespace agaterun::membership
 
 #endif  // LIBRARIES_MEMBERSHIP_REVISION_H_
--- a/tests/platform_adapter/restored_store_test.cc
+++ b/tests/platform_adapter/restored_store_test.cc
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "libraries/membership/directory_keeper.h"
+#include "libraries/membership/revision.h"
 #include "platform/store_reader.h"
 #include "tests/fakes/run_until.h"
 #include "tests/fakes/store/fake_store.h"
@@ -151,6 +152,49 @@
   BOOST_TEST(this->RunUntil([&] { return this->Find("one")->leaving; }));
 }
 
+// Guards against endpoints that are dropped because they registered in the time
+// that the copy lacks.
+BOOST_FIXTURE_TEST_CASE(EndpointThatTheCopyLacksStaysUntilItRegistersAgain,
+                        Fixture) {
+  this->store.Put("op/config", Configuration(3));
+  this->copy_revision = this->store.Revision();
+  this->store.Put("servers/back", Endpoint("ready"));
+  this->store.Put("servers/gone", Endpoint("ready"));
+  this->Start();
+  this->store.RestoreAt(this->copy_revision);
+  const auto lists_before = this->lists;
+  BOOST_TEST(this->RunUntil([&] { return this->lists > lists_before; }));
+  BOOST_TEST(this->Find("back").has_value());
+  this->store.Put("servers/back", Endpoint("ready"));
+  this->now += membership::kReregistrationTime;
+  // The list is read again by then, and what it still lacks is gone.
+  BOOST_TEST(this->RunUntil([&] { return !this->Find("gone").has_value(); }));
+  BOOST_TEST(this->Find("back").has_value());
+}
+
+// Guards against endpoints that get requests again because the copy lists them
+// as they were before they left.
+BOOST_FIXTURE_TEST_CASE(EndpointThatLeftDoesNotReturnWithTheCopy, Fixture) {
+  this->store.Put("servers/leaving", Endpoint("ready"));
+  this->store.Put("servers/left", Endpoint("ready"));
+  this->copy_revision = this->store.Revision();
+  this->store.Put("op/config", Configuration(3));
+  this->Start();
+  this->store.Put("servers/leaving", Endpoint("draining"));
+  this->store.Delete("servers/left");
+  BOOST_TEST(this->RunUntil([&] {
+    return this->Find("leaving")->leaving && !this->Find("left").has_value();
+  }));
+  this->store.RestoreAt(this->copy_revision);
+  const auto lists_before = this->lists;
+  BOOST_TEST(this->RunUntil([&] { return this->lists > lists_before; }));
+  BOOST_TEST(this->Find("leaving")->leaving);
+  BOOST_TEST(!this->Find("left").has_value());
+  // A later incarnation with the same id is another matter.
+  this->store.Put("servers/leaving", Endpoint("ready", 8));
+  BOOST_TEST(this->RunUntil([&] { return !this->Find("leaving")->leaving; }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace agaterun::platform_adapter
