Proxy: A repeated refusal is not taken for the response to the next request

Reported by operators of similar systems: a faulty backend server wrote an earlier refusal once more on a kept connection, and callers were told 'not run' of requests that ran.

It could happen here when the refusal bears no request id: an error response without an id was taken for the current request's on any connection. Cause: absence of an id was read as evidence that the response belongs here. Class of fault: a promise (not run) made from missing evidence. Now such a response is accepted on a connection's first exchange alone, where nothing else can be meant; later ones end the exchange as unknown and close the connection. With an id it was already told apart and still is.

--- a/libraries/proxy/endpoint_connection.cc
+++ b/libraries/proxy/endpoint_connection.cc
@@ -162,6 +162,13 @@
 void EndpointConnection::HandleResponse(bool trailing_bytes) {
   bool keep_alive = false;
   auto response = this->parser.Take(keep_alive);
+  if (this->has_received_response &&
+      FindHeader(response.headers, this->request_id_header) == nullptr) {
+    // It may repeat the response to an earlier request. A repeated refusal
+    // would say of a running request that it did not run.
+    this->OnEnd(/*orderly=*/false);
+    return;
+  }
   if (!this->MatchesRequest(response)) {
     this->received_mismatched_response = true;
     if (!keep_alive) {
@@ -174,6 +181,7 @@
   // be reused.
   const bool reusable = keep_alive && !trailing_bytes && !this->writing &&
                         !this->received_mismatched_response;
+  this->has_received_response = true;
   const auto self = this->shared_from_this();
   if (reusable) {
     this->state = State::kIdle;
--- a/libraries/proxy/endpoint_connection.h
+++ b/libraries/proxy/endpoint_connection.h
@@ -51,7 +51,7 @@
 
   // Calls OnResponse or OnBroken on completion, unless Close is called first.
   // A response is accepted only if it echoes `request_id`, or if it is an error
-  // response without an id.
+  // response without an id and the first one on the connection.
   void Send(std::string bytes, std::string request_id, bool is_head);
 
   // Makes no further calls to the owner.
@@ -81,6 +81,7 @@
   State state = State::kConnecting;
   bool reading = false;
   bool writing = false;
+  bool has_received_response = false;
   bool received_mismatched_response = false;
   Instant idle_since{};
 };
