Calls: The end of a planned stop answers the requests that are in flight

Here requests are refused as not run from 3 s after the signal, but two gaps were open: the refusal began with the next tick, up to 50 ms (more on a slow host) after that; and what was still in flight when the process exits got no answer at all, also requests that no backend server had got yet.

Each request is now checked against the time of the stop when it arrives, and the last step of the stop ends all calls: 503 with the time to come back where nothing ran, 504 where it may have.

EndOfAPlannedStopAnswersTheRequestsInFlight is new with its function.

--- a/libraries/calls/call_origin.cc
+++ b/libraries/calls/call_origin.cc
@@ -316,6 +316,19 @@
                 Reason::kDeadlineExceeded);
 }
 
+void CallOrigin::EndAllCalls(Instant now) {
+  std::vector<CallId> ids;
+  for (const auto& [id, call] : this->calls) {
+    ids.push_back(id);
+  }
+  for (const auto id : ids) {
+    // Ending a call may end calls that are nested in it.
+    if (const auto found = this->calls.find(id); found != this->calls.end()) {
+      this->EndExpiredCall(now, found->second);
+    }
+  }
+}
+
 void CallOrigin::EndCall(Instant now,
                          Call& call,
                          const HttpResponse& response,
--- a/libraries/calls/call_origin.h
+++ b/libraries/calls/call_origin.h
@@ -111,6 +111,8 @@
   // Refuses new requests from now on, so that callers use another host. Nested
   // calls of requests that run on this host are still accepted.
   void StopAcceptingCalls() { this->stopping = true; }
+  // Responds to all calls in flight, before the process exits.
+  void EndAllCalls(Instant now);
   void OnReply(Instant now,
                const decision::VisitReply& reply,
                const decision::Answer& answer);
--- a/libraries/proxy/proxy_node.cc
+++ b/libraries/proxy/proxy_node.cc
@@ -164,6 +164,9 @@
 void ProxyNode::OnRequest(CallId call,
                           HttpRequest request,
                           NodeAddress /*caller*/) {
+  if (!this->planned_stop.AcceptsRequests(this->Now())) {
+    this->origin.StopAcceptingCalls();
+  }
   // Callers and the backend server connect to the same address. A nested call
   // of the backend server is recognized by the request id of its parent visit.
   const auto parent = this->gate.FindParent(this->RequestIdOf(request));
@@ -401,6 +404,7 @@
       this->origin.CallsInFlight() == 0 && this->gate.VisitsInFlight() == 0;
   if (this->planned_stop.FinishIfDue(now, is_idle)) {
     this->callers->StopAccepting();
+    this->origin.EndAllCalls(now);
     Log(LogEvent::kStopped);
     this->on_stopped();
   }
--- a/tests/calls/call_origin_test.cc
+++ b/tests/calls/call_origin_test.cc
@@ -687,6 +687,22 @@
   }
 }
 
+// Guards against a planned stop that ends with requests in flight and closes
+// their connections without an answer.
+BOOST_FIXTURE_TEST_CASE(EndOfAPlannedStopAnswersTheRequestsInFlight, Fixture) {
+  this->SendRequest(1, "/send/1");
+  this->SendRequest(2, "/read/1");
+  this->now += 600ms;
+  // Nodes that have not reported lately get a capacity query first.
+  this->SendRequest(3, "/send/1");
+  BOOST_TEST(this->output.sent.back().visit.is_capacity_query);
+  this->origin.EndAllCalls(this->now);
+  BOOST_TEST(this->ResponseStatus(1) == 504);
+  BOOST_TEST(this->ResponseStatus(2) == 504);
+  BOOST_TEST(this->ResponseStatus(3) == 503);
+  BOOST_TEST(this->origin.CallsInFlight() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace agaterun::calls
