Admission: Rejections count as responses of a backend server

What callers would see: after a node restarts beside a full backend server, the first 3 requests are rejected, and the gate then starts one every 2 s until a valid response comes, for as long as the server stays full of other work: a slow recovery after restarts in a surge.

Cause: only valid responses ended the careful start, and only they stated a rate, though a rejection is a response as well. A rejection now ends it, and its headers count; one without the header doesn't end a rate in force, since what rejects may not know the rate.

--- a/libraries/calls/visit_gate_responses.cc
+++ b/libraries/calls/visit_gate_responses.cc
@@ -49,8 +49,15 @@
 void VisitGate::HandleResponse(Instant now, VisitNumber number, Answer answer) {
   const auto& visit = this->visits.at(number);
   const auto response_class = ClassifyResponse(*answer, this->dialect);
-  if (response_class == ResponseClass::kValid) {
-    this->RecordNotice(now, visit, ReadBackendNotice(*answer, this->dialect));
+  if (response_class == ResponseClass::kValid ||
+      response_class == ResponseClass::kNotRun) {
+    auto notice = ReadBackendNotice(*answer, this->dialect);
+    if (response_class == ResponseClass::kNotRun && !notice.rate_limit) {
+      // A rejection may be made without knowledge of the rate, so it doesn't
+      // end the rate that is in force.
+      notice.rate_limit = this->notice.rate_limit;
+    }
+    this->RecordNotice(now, visit, notice);
   }
   switch (response_class) {
     case ResponseClass::kValid:
--- a/tests/calls/visit_gate_test.cc
+++ b/tests/calls/visit_gate_test.cc
@@ -495,6 +495,32 @@
   BOOST_TEST(!this->gate.Notice().rate_limit.has_value());
 }
 
+// Guards against a restarted gate that waits for a response which never comes:
+// the backend server is full and rejects what it gets at first.
+BOOST_FIXTURE_TEST_CASE(RejectionsCountAsResponses, NoticeFixture) {
+  for (decision::CallId call = 500; call < 503; ++call) {
+    this->SubmitVisit(call);
+    this->EndOldestExchange(ExchangeResult::kResponded,
+                            MakeResponse(503, {"Not-Run"}));
+  }
+  BOOST_TEST(this->Run(1s, {}) > 150U);
+}
+
+BOOST_FIXTURE_TEST_CASE(RejectionsStateARateAndDoNotEndOne, NoticeFixture) {
+  this->SubmitVisit(500);
+  auto rejection =
+      std::make_shared<HttpResponse>(*MakeResponse(503, {"Not-Run"}));
+  rejection->headers.push_back({"Rate", "6"});
+  this->EndOldestExchange(ExchangeResult::kResponded, rejection);
+  BOOST_TEST(*this->gate.Notice().rate_limit == 6);
+  this->now += 1s;
+  this->SubmitVisit(501);
+  this->EndOldestExchange(ExchangeResult::kResponded,
+                          MakeResponse(503, {"Not-Run"}));
+  BOOST_TEST(*this->gate.Notice().rate_limit == 6);
+  BOOST_TEST(this->Run(4s, {{"Rate", "6"}}) <= 41U);
+}
+
 // Guards against requests for a backend server that has stated in a response
 // that it is leaving, while the platform's list calls it ready.
 BOOST_FIXTURE_TEST_CASE(StatedLeavingClosesTheGate, NoticeFixture) {
