--- a/tests/platform_adapter/restored_store_test.cc
+++ b/tests/platform_adapter/restored_store_test.cc
@@ -2,6 +2,7 @@
 
 #include "libraries/membership/directory_keeper.h"
 #include "libraries/membership/revision.h"
+#include "platform/store_calls.h"
 #include "platform/store_reader.h"
 #include "tests/fakes/run_until.h"
 #include "tests/fakes/store/fake_store.h"
@@ -195,6 +196,21 @@
   BOOST_TEST(this->RunUntil([&] { return !this->Find("leaving")->leaving; }));
 }
 
+// Guards against a store that counts as unreachable because it counts its eras
+// from another number.
+BOOST_AUTO_TEST_CASE(EraCountsRestores) {
+  const auto era_of = [](const std::string& text) {
+    return DecodeEra({.status = 200, .headers = {{"Store-Era", text}}});
+  };
+  BOOST_TEST(*DecodeEra({.status = 200}) == 0U);
+  BOOST_TEST(*era_of("0") == 0U);
+  BOOST_TEST(*era_of("1") == 0U);
+  BOOST_TEST(*era_of("2") == 1U);
+  for (const auto* text : {"", "-1", "1.5", "2 ", "two", "99999999999"}) {
+    BOOST_TEST(!era_of(text).has_value(), "'" << text << "'");
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace agaterun::platform_adapter
