Accounts: A restarted node that does not know the fleet yet admits nothing

Cause: a node that has just started got a whole token for each account, while its reports cover only itself. It now gets one if it knows half of the fleet or more, else a part of one. A node that restarts alone has its peers' reports before its callers come back.

FleetThatRestartsInASurgeAdmitsNothingInAdvance fails before (106 > 105.1).

--- a/libraries/accounts/account_quotas.cc
+++ b/libraries/accounts/account_quotas.cc
@@ -22,6 +22,10 @@
 // differences between the reports of nodes, their age, and tokens being whole.
 constexpr double kBurstFractionOfTolerance = 0.15;
 
+// A restarted node that receives reports of less than this part of the fleet
+// admits nothing in advance.
+constexpr double kMinKnownPart = 0.5;
+
 // The fleet may admit this part of the tolerance beyond the limit before its
 // nodes refuse.
 constexpr double kDebtFractionOfTolerance = 0.1;
@@ -103,8 +107,9 @@
       this->debts.erase(debt);
     }
     // Fill() reduces this to the capacity.
-    account.tokens =
-        is_restarted ? 1 : configured.burst + this->Tolerance(account.limit);
+    account.tokens = is_restarted
+                         ? std::min(1.0, this->covered_part / kMinKnownPart)
+                         : configured.burst + this->Tolerance(account.limit);
   }
   return account;
 }
--- a/tests/accounts/account_quotas_test.cc
+++ b/tests/accounts/account_quotas_test.cc
@@ -283,6 +283,12 @@
   }
 }
 
+// Guards against one request in advance from each node of a fleet that
+// restarts, before the nodes know that the limit is used up.
+BOOST_AUTO_TEST_CASE(FleetThatRestartsInASurgeAdmitsNothingInAdvance) {
+  PlaySequence(5873);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace agaterun::accounts
