Accounts: A group of nodes that is cut off has its part of the burst only

Cause: each node counts what the fleet may still admit at once, up to the burst. Cut off from each other, all groups counted the whole burst, though their shares of the rate follow the part of the fleet that they cover. The burst now does, too.

GroupsThatAreCutOffShareTheBurst fails before (751 > 707).

--- a/libraries/accounts/account_quotas.cc
+++ b/libraries/accounts/account_quotas.cc
@@ -100,7 +100,8 @@
     // What the former process at this address admitted in the current window is
     // not known.
     const bool is_restarted = this->IsRestarted(now);
-    account.fleet_balance = is_restarted ? 0 : configured.burst;
+    account.fleet_balance =
+        is_restarted ? 0 : configured.burst * this->covered_part;
     if (const auto debt = this->debts.find(configured.name);
         debt != this->debts.end()) {
       account.fleet_balance -= debt->second * configured.requests_per_second;
@@ -234,9 +235,9 @@
   const double admitted =
       account.admitted.PerSecond(now) + account.others_admitted;
   const double gained = account.limit.rate * this->covered_part - admitted;
-  account.fleet_balance =
-      std::clamp(account.fleet_balance + gained * seconds,
-                 -2 * this->Tolerance(account.limit), account.limit.burst);
+  account.fleet_balance = std::clamp(account.fleet_balance + gained * seconds,
+                                     -2 * this->Tolerance(account.limit),
+                                     account.limit.burst * this->covered_part);
 }
 
 void AccountQuotas::Update(Instant now,
--- a/tests/accounts/account_quotas_test.cc
+++ b/tests/accounts/account_quotas_test.cc
@@ -289,6 +289,11 @@
   PlaySequence(5873);
 }
 
+// Guards against a burst for each group of nodes that is cut off.
+BOOST_AUTO_TEST_CASE(GroupsThatAreCutOffShareTheBurst) {
+  PlaySequence(4278);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace agaterun::accounts
