--- a/libraries/accounts/account_quotas.cc
+++ b/libraries/accounts/account_quotas.cc
@@ -22,6 +22,10 @@
 // differences between the reports of nodes, their age, and tokens being whole.
 constexpr double kBurstFractionOfTolerance = 0.15;
 
+// A restarted node that receives reports of less than this part of the fleet
+// admits nothing in advance.
+constexpr double kMinKnownPart = 0.5;
+
 // The fleet may admit this part of the tolerance beyond the limit before its
 // nodes refuse.
 constexpr double kDebtFractionOfTolerance = 0.1;
@@ -96,15 +100,17 @@
     // What the former process at this address admitted in the current window is
     // not known.
     const bool is_restarted = this->IsRestarted(now);
-    account.fleet_balance = is_restarted ? 0 : configured.burst;
+    account.fleet_balance =
+        is_restarted ? 0 : configured.burst * this->covered_part;
     if (const auto debt = this->debts.find(configured.name);
         debt != this->debts.end()) {
       account.fleet_balance -= debt->second * configured.requests_per_second;
       this->debts.erase(debt);
     }
     // Fill() reduces this to the capacity.
-    account.tokens =
-        is_restarted ? 1 : configured.burst + this->Tolerance(account.limit);
+    account.tokens = is_restarted
+                         ? std::min(1.0, this->covered_part / kMinKnownPart)
+                         : configured.burst + this->Tolerance(account.limit);
   }
   return account;
 }
@@ -116,11 +122,15 @@
   return total > 0 ? local / total : 0;
 }
 
-double AccountQuotas::ExtraTokens(Instant now, const Account& account) const {
+bool AccountQuotas::IsInSurge(Instant now, const Account& account) const {
   const double rate = account.limit.rate * this->covered_part;
   const double offered =
       account.offered.PerSecond(now) + account.others_offered;
-  if (offered > rate + kSurgeDeviations * std::sqrt(rate)) {
+  return offered > rate + kSurgeDeviations * std::sqrt(rate);
+}
+
+double AccountQuotas::ExtraTokens(Instant now, const Account& account) const {
+  if (this->IsInSurge(now, account)) {
     return 1;
   }
   const double even_tolerance =
@@ -138,6 +148,13 @@
       account.part * kept + this->OfferedFraction(now, account) * (1 - kept);
 }
 
+void AccountQuotas::ShrinkPart(Instant now, Account& account) const {
+  // Without a delay: until now the nodes of each group divided the whole limit
+  // among themselves.
+  const double fraction = this->OfferedFraction(now, account);
+  account.part = std::min(account.part, std::max(fraction, this->EvenPart()));
+}
+
 void AccountQuotas::Fill(Instant now, Account& account) {
   const double elapsed = ToSeconds(now - account.filled_at);
   account.filled_at = now;
@@ -218,9 +235,9 @@
   const double admitted =
       account.admitted.PerSecond(now) + account.others_admitted;
   const double gained = account.limit.rate * this->covered_part - admitted;
-  account.fleet_balance =
-      std::clamp(account.fleet_balance + gained * seconds,
-                 -2 * this->Tolerance(account.limit), account.limit.burst);
+  account.fleet_balance = std::clamp(account.fleet_balance + gained * seconds,
+                                     -2 * this->Tolerance(account.limit),
+                                     account.limit.burst * this->covered_part);
 }
 
 void AccountQuotas::Update(Instant now,
@@ -242,6 +259,7 @@
       this->recent_listed > 0
           ? static_cast<double>(new_coverage.reporting) / this->recent_listed
           : 0;
+  const double former_covered_part = this->covered_part;
   this->covered_part = std::min(1.0, covered);
   std::erase_if(this->accounts, [&](const auto& item) {
     return now - item.second.last_request > kIdleTimeout;
@@ -258,6 +276,10 @@
         std::max(0.0, offered - account.offered.PerSecond(now));
     account.others_admitted =
         std::max(0.0, admitted - account.admitted.PerSecond(now));
+    if (this->covered_part > former_covered_part &&
+        this->IsInSurge(now, account)) {
+      this->ShrinkPart(now, account);
+    }
     this->UpdateBalance(now, account, seconds);
   }
 }
