Admission: A backend server that starts beside a running gate has no limit

Cause: a gate that starts beside a running backend server must not start at full rate, since that may have stated a limit to the gate before it. The same was done for each later incarnation, which has stated nothing to anyone. An incarnation that is listed late, after an earlier one, and that had stated a limit to the process before, is taken for new: both must have restarted within the list's delay.

LaterIncarnationStartsWithoutLimit fails before (3 of 20 started).

--- a/libraries/admission/backend_rate_limit.h
+++ b/libraries/admission/backend_rate_limit.h
@@ -22,9 +22,6 @@
   // backend server states no limit.
   void SetStatedRate(Instant now, std::optional<double> per_second);
 
-  // The backend server is another incarnation, which has not responded yet.
-  void Reset() { *this = {}; }
-
   // True while fewer requests may start than there are slots.
   bool IsLimiting() const { return this->rate || !this->has_response; }
 
--- a/libraries/calls/visit_gate.cc
+++ b/libraries/calls/visit_gate.cc
@@ -77,7 +77,11 @@
                       this->entry->started_at != this->notice_started_at)) {
     // Another incarnation doesn't know what the one before it stated.
     this->notice = {};
-    this->rate_limit.Reset();
+    if (!this->notice_instance.empty()) {
+      // It started while this process runs, so it has not stated a rate to an
+      // earlier process either.
+      this->rate_limit.SetStatedRate(now, std::nullopt);
+    }
     this->notice_instance = this->entry->id;
     this->notice_started_at = this->entry->started_at;
   }
--- a/tests/calls/visit_gate_test.cc
+++ b/tests/calls/visit_gate_test.cc
@@ -495,6 +495,20 @@
   BOOST_TEST(!this->gate.Notice().rate_limit.has_value());
 }
 
+// Guards against a backend server that starts beside a running gate and gets no
+// more than the first requests until it has responded: no earlier process can
+// have received a limit from it.
+BOOST_FIXTURE_TEST_CASE(LaterIncarnationStartsWithoutLimit, NoticeFixture) {
+  this->Run(1s, {{"Rate", "6"}});
+  auto next = *this->gate.Entry();
+  next.started_at += 1;
+  this->gate.SetEntry(this->now, next);
+  for (decision::CallId call = 500; call < 520; ++call) {
+    this->SubmitVisit(call);
+  }
+  BOOST_TEST(this->output.started.size() == 20U);
+}
+
 // Guards against a restarted gate that waits for a response which never comes:
 // the backend server is full and rejects what it gets at first.
 BOOST_FIXTURE_TEST_CASE(RejectionsCountAsResponses, NoticeFixture) {
