Proxy: Retries allowed and consumed by service, in log, metrics and state dump

Nothing showed what a node's part of the retry budget was, what it had spent and how many nodes it reckoned with, so the three hypotheses on the repeats beyond the bound could not be told apart. Event 611 once a second for each service with retries, granted or denied; agaterun_retry_...; `retries` and `retry_fleet_size` in the dump. No decision changes. proxy_test and base_test pass in the debug build.

--- a/libraries/base/log_event.h
+++ b/libraries/base/log_event.h
@@ -56,6 +56,7 @@
   kSuspectRecorded = 603,
   kFingerprintQuarantined = 604,
   kLoad = 610,
+  kRetries = 611,
   kOperatorRequestRefused = 700,
 };
 
@@ -127,6 +128,7 @@
     LogEventRow{LogEvent::kFingerprintQuarantined, LogLevel::kError,
                 "fingerprint-convicted"},
     LogEventRow{LogEvent::kLoad, LogLevel::kInfo, "load"},
+    LogEventRow{LogEvent::kRetries, LogLevel::kInfo, "retries"},
     LogEventRow{LogEvent::kOperatorRequestRefused, LogLevel::kInfo,
                 "operator-request-refused"},
 };
--- a/libraries/proxy/call_log.cc
+++ b/libraries/proxy/call_log.cc
@@ -12,13 +12,18 @@
 
 constexpr std::uint64_t kLinesPerSecond = 20;
 constexpr Duration kLoadInterval = 1s;
+constexpr Duration kRetriesInterval = 1s;
 
-std::string Milliseconds(Duration duration) {
+std::string OneDecimal(double value) {
   char text[32];
-  std::snprintf(text, sizeof(text), "%.1f", ToMilliseconds(duration));
+  std::snprintf(text, sizeof(text), "%.1f", value);
   return text;
 }
 
+std::string Milliseconds(Duration duration) {
+  return OneDecimal(ToMilliseconds(duration));
+}
+
 decision::Outcome OutcomeOf(const calls::CallSummary& summary) {
   if (summary.reason == decision::Reason::kNone) {
     return decision::Outcome::kCompleted;
@@ -138,4 +143,28 @@
                         {"held_back", routes.empty() ? "-" : routes}});
 }
 
+bool CallLog::IsRetryLogDue(Instant now) const {
+  return now - this->last_retries_logged >= kRetriesInterval;
+}
+
+void CallLog::LogRetries(Instant now,
+                         const std::vector<retries::RetryQuota::Use>& uses,
+                         int fleet_size) {
+  this->last_retries_logged = now;
+  for (const auto& use : uses) {
+    auto& logged = this->logged_retries[use.service];
+    if (logged == use.granted + use.denied) {
+      continue;
+    }
+    logged = use.granted + use.denied;
+    Log(LogEvent::kRetries, {{"service", use.service},
+                             {"requests", OneDecimal(use.requests)},
+                             {"retries", OneDecimal(use.retries)},
+                             {"limit", OneDecimal(use.limit)},
+                             {"granted", std::to_string(use.granted)},
+                             {"denied", std::to_string(use.denied)},
+                             {"nodes", std::to_string(fleet_size)}});
+  }
+}
+
 }  // namespace agaterun::proxy
--- a/libraries/proxy/call_log.h
+++ b/libraries/proxy/call_log.h
@@ -1,15 +1,18 @@
 #ifndef LIBRARIES_PROXY_CALL_LOG_H_
 #define LIBRARIES_PROXY_CALL_LOG_H_
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "libraries/base/http_message.h"
 #include "libraries/base/log_event.h"
 #include "libraries/calls/call_origin.h"
 #include "libraries/node/log_limiter.h"
 #include "libraries/operator/metrics.h"
+#include "libraries/retries/retry_quota.h"
 
 namespace agaterun::proxy {
 
@@ -38,6 +41,13 @@
       const decision::LoadReport& load,
       const std::vector<admission::EntryAdmission::ThrottledRoute>& throttled);
 
+  // Logs the retries of this node for each service that has had some, or whose
+  // retries were denied, since the last call. Does so once a second.
+  void LogRetries(Instant now,
+                  const std::vector<retries::RetryQuota::Use>& uses,
+                  int fleet_size);
+  bool IsRetryLogDue(Instant now) const;
+
   std::string Metrics() const { return this->metrics.ToText(); }
 
  private:
@@ -46,6 +56,9 @@
   bool Admit(Instant now, LogEvent event, std::string& dropped_lines);
 
   Instant last_load_logged{};
+  Instant last_retries_logged{};
+  // Retries granted and denied by service, as logged last.
+  std::map<std::string, std::uint64_t> logged_retries;
   std::map<LogEvent, std::unique_ptr<node::LogLimiter>> limiters;
   operator_interface::Metrics metrics;
 };
--- a/libraries/proxy/node_state.cc
+++ b/libraries/proxy/node_state.cc
@@ -4,6 +4,24 @@
 
 namespace agaterun::proxy {
 
+namespace {
+
+nlohmann::json RetriesToJson(
+    const std::vector<retries::RetryQuota::Use>& uses) {
+  nlohmann::json services = nlohmann::json::array();
+  for (const auto& use : uses) {
+    services.push_back({{"service", use.service},
+                        {"window_requests", use.requests},
+                        {"window_retries", use.retries},
+                        {"window_limit", use.limit},
+                        {"granted", use.granted},
+                        {"denied", use.denied}});
+  }
+  return services;
+}
+
+}  // namespace
+
 std::string NodeState::ToJson() const {
   nlohmann::json listed = nlohmann::json::array();
   for (const auto& [address, node] : this->nodes) {
@@ -53,6 +71,8 @@
         {"failure_share", this->load.failure_share},
         {"connections_made", this->connections_opened}}},
       {"accounts", used},
+      {"retries", RetriesToJson(this->retries)},
+      {"retry_fleet_size", this->retry_fleet_size},
       {"nodes", listed}};
   return state.dump(1) + "\n";
 }
--- a/libraries/proxy/node_state.h
+++ b/libraries/proxy/node_state.h
@@ -13,6 +13,7 @@
 #include "libraries/decision/messages.h"
 #include "libraries/membership/directory_source.h"
 #include "libraries/membership/fleet.h"
+#include "libraries/retries/retry_quota.h"
 
 namespace agaterun::proxy {
 
@@ -30,6 +31,8 @@
   calls::BackendNotice notice;  // Of the backend server on this host.
   // The client accounts that use most of their limits.
   std::vector<accounts::AccountQuotas::AccountUse> accounts;
+  std::vector<retries::RetryQuota::Use> retries;
+  int retry_fleet_size = 0;              // Nodes that share the extra retries.
   std::uint64_t connections_opened = 0;  // Opened to the backend server.
   const std::unordered_map<NodeAddress, membership::FleetNode>& nodes;
 
--- a/libraries/proxy/proxy_node.cc
+++ b/libraries/proxy/proxy_node.cc
@@ -7,6 +7,7 @@
 #include "libraries/http/message_writer.h"
 #include "libraries/proxy/account_metrics.h"
 #include "libraries/proxy/link_metrics.h"
+#include "libraries/proxy/retry_metrics.h"
 
 namespace agaterun::proxy {
 
@@ -357,6 +358,10 @@
     this->call_log.LogLoad(now, this->gate.Load(now),
                            this->origin.Admission().ThrottledRoutes());
   }
+  if (auto& retries = this->origin.RetryBudget();
+      this->call_log.IsRetryLogDue(now)) {
+    this->call_log.LogRetries(now, retries.Uses(now), retries.FleetSize());
+  }
   if (now >= this->next_quota_update) {
     this->next_quota_update = now + kQuotaUpdateInterval;
     this->UpdateQuotas(now);
@@ -410,8 +415,10 @@
   }
 }
 
-std::string ProxyNode::Metrics() const {
+std::string ProxyNode::Metrics() {
+  auto& retries = this->origin.RetryBudget();
   return this->call_log.Metrics() +
+         RetryMetrics(retries.Uses(this->Now()), retries.FleetSize()) +
          AccountMetrics(
              this->origin.Quotas().HighestUse(this->Now(), kShownAccounts)) +
          LinkMetrics(this->links->Sent(
@@ -420,7 +427,8 @@
                          [this](auto to) { return !this->IsInOwnDomain(to); }));
 }
 
-NodeState ProxyNode::State() const {
+NodeState ProxyNode::State() {
+  auto& retries = this->origin.RetryBudget();
   return {
       .configuration = this->gossip.Version(),
       .endpoint_list = this->directory.Endpoints().CompleteRevision(),
@@ -433,6 +441,8 @@
       .load = this->gate.Load(this->Now()),
       .notice = this->gate.Notice(),
       .accounts = this->origin.Quotas().HighestUse(this->Now(), kShownAccounts),
+      .retries = retries.Uses(this->Now()),
+      .retry_fleet_size = retries.FleetSize(),
       .connections_opened = this->pool->ConnectionsOpened(),
       .nodes = this->fleet.All()};
 }
--- a/libraries/proxy/proxy_node.h
+++ b/libraries/proxy/proxy_node.h
@@ -146,8 +146,8 @@
 
   Instant Now() const { return this->clock.Now(); }
   bool IsReady() const;
-  NodeState State() const;
-  std::string Metrics() const;
+  NodeState State();
+  std::string Metrics();
   std::string RequestIdOf(const HttpRequest& request) const;
   // Applies a changed endpoint list to the fleet, the origin and the gate.
   void ApplyEndpoints();
--- a/libraries/retries/retry_quota.cc
+++ b/libraries/retries/retry_quota.cc
@@ -44,19 +44,37 @@
   usage.requests.push_back({.time = now, .amount = 1});
 }
 
+double RetryQuota::Limit(const ServiceUsage& usage) const {
+  return kSafetyFactor * (this->options.ratio * usage.requests_in_window +
+                          this->options.extra / this->fleet_size);
+}
+
 bool RetryQuota::TryConsume(Instant now,
                             std::string_view service,
                             double cost) {
   auto& usage = this->CurrentUsage(now, service);
-  const double allowed =
-      kSafetyFactor * (this->options.ratio * usage.requests_in_window +
-                       this->options.extra / this->fleet_size);
-  if (usage.retries_in_window + cost > allowed) {
+  if (usage.retries_in_window + cost > this->Limit(usage)) {
+    usage.denied += 1;
     return false;
   }
+  usage.granted += 1;
   usage.retries_in_window += cost;
   usage.retries.push_back({.time = now, .amount = cost});
   return true;
 }
 
+std::vector<RetryQuota::Use> RetryQuota::Uses(Instant now) {
+  std::vector<Use> uses;
+  for (const auto& [service, kept] : this->usage_by_service) {
+    const auto& usage = this->CurrentUsage(now, service);
+    uses.push_back({.service = service,
+                    .requests = usage.requests_in_window,
+                    .retries = usage.retries_in_window,
+                    .limit = this->Limit(usage),
+                    .granted = usage.granted,
+                    .denied = usage.denied});
+  }
+  return uses;
+}
+
 }  // namespace agaterun::retries
--- a/libraries/retries/retry_quota.h
+++ b/libraries/retries/retry_quota.h
@@ -1,10 +1,12 @@
 #ifndef LIBRARIES_RETRIES_RETRY_QUOTA_H_
 #define LIBRARIES_RETRIES_RETRY_QUOTA_H_
 
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "libraries/base/time.h"
 
@@ -25,10 +27,22 @@
     Duration window = 10s;
   };
 
+  // What was allowed and consumed for one service, for operators.
+  struct Use {
+    std::string service;
+    double requests = 0;        // Of callers, in the current window.
+    double retries = 0;         // Consumed in the current window.
+    double limit = 0;           // Of `retries`, now.
+    std::uint64_t granted = 0;  // Retries since the process started.
+    std::uint64_t denied = 0;   // The same.
+  };
+
   explicit RetryQuota(Options options) : options(options) {}
 
   void SetOptions(Options new_options) { this->options = new_options; }
   void SetFleetSize(int nodes) { this->fleet_size = nodes > 0 ? nodes : 1; }
+  // Number of nodes that the extra retries are divided among.
+  int FleetSize() const { return this->fleet_size; }
 
   // Counts a request of a caller for the service.
   void AddRequest(Instant now, std::string_view service);
@@ -37,6 +51,9 @@
   // left.
   bool TryConsume(Instant now, std::string_view service, double cost);
 
+  // Of all services, sorted by name.
+  std::vector<Use> Uses(Instant now);
+
  private:
   struct Count {
     Instant time{};
@@ -48,9 +65,12 @@
     std::deque<Count> retries;
     double requests_in_window = 0;
     double retries_in_window = 0;
+    std::uint64_t granted = 0;
+    std::uint64_t denied = 0;
   };
 
   ServiceUsage& CurrentUsage(Instant now, std::string_view service);
+  double Limit(const ServiceUsage& usage) const;
 
   Options options;
   int fleet_size = 1;
