--- a/tests/retries/retry_quota_test.cc
+++ b/tests/retries/retry_quota_test.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "libraries/base/random.h"
+#include "tests/retries/retry_fleet.h"
 
 namespace agaterun::retries {
 
@@ -91,6 +92,40 @@
   }
 }
 
+// Failure: a restarted process didn't know what its predecessor had spent, so
+// that the fleet exceeded its limit in windows with restarts.
+BOOST_AUTO_TEST_CASE(NoSequenceOfRestartsExceedsLimit) {
+  constexpr std::uint64_t kSequences = 300;
+  for (std::uint64_t seed = 1; seed <= kSequences; ++seed) {
+    RetryFleet fleet({.seed = seed});
+    fleet.PlayRandomFaults(40s);
+    const auto worst = fleet.WorstWindow();
+    BOOST_TEST(worst.retries <= worst.limit,
+               "seed " << seed << ": " << worst.retries << " retries in the "
+                       << "window that ends at " << ToMilliseconds(worst.end)
+                       << " ms, limit " << worst.limit);
+  }
+}
+
+// Failure: as above, with the kills of the incident: all processes but one
+// restart while every request is rejected.
+BOOST_AUTO_TEST_CASE(RejectionsAndHerdKillStayWithinLimit) {
+  for (const auto& kills : std::vector<std::vector<Instant>>{
+           {16500ms}, {15s, 17500ms}, {14s, 16500ms, 19s}}) {
+    RetryFleet fleet({.nodes = 12, .extra = 48, .seed = 1});
+    fleet.SetTraffic(/*per_second=*/100, /*failing=*/0.7);
+    for (const auto kill : kills) {
+      fleet.AdvanceTo(kill);
+      fleet.Restart(/*nodes=*/11, /*down=*/500ms);
+    }
+    fleet.AdvanceTo(30s);
+    const auto worst = fleet.WorstWindow();
+    BOOST_TEST(worst.retries <= worst.limit, kills.size()
+                                                 << " kills: " << worst.retries
+                                                 << " > " << worst.limit);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace agaterun::retries
