Retries: A restart no longer renews a node's part of the budget

Cause: each process counted the requests and retries of its own window and kept to a limit computed from them. A successor knows nothing of its predecessor, so it got the extra retries of the window anew, and what the predecessor had spent in a burst was forgotten while its requests had been counted. The class of fault: a bound on a window that rests on memory which ends with the process.

Now a retry is paid for by what this process has seen itself: each request earns a fraction of one. Earnings may be kept for a twentieth of the window; beyond that a node keeps a standing amount, taken from its part of the extra, and the rest of its part may be used once per window, but not in the first window of a process. A new process has neither, so a restart can only lower the sum, and the bound follows without any memory: requests of the window and of a twentieth before it, and the extra.

What it costs: bursts of retries are smaller, a standing amount and a twentieth of the window's earnings in place of the whole window's.

--- a/libraries/calls/call_origin.cc
+++ b/libraries/calls/call_origin.cc
@@ -54,7 +54,7 @@
                .failure_domain = this->options.failure_domain},
               fleet,
               random),
-      budget(this->options.retry_options),
+      budget(this->options.retry_options, this->options.started),
       admission(random) {}
 
 void CallOrigin::SetConfiguration(
--- a/libraries/calls/call_origin.h
+++ b/libraries/calls/call_origin.h
@@ -72,6 +72,7 @@
     std::string failure_domain;
     std::string service;  // Service of the backend server on this host.
     retries::RetryQuota::Options retry_options;
+    Instant started{};  // Start of the process.
   };
 
   // `dialect`, `crashes`, `fleet`, `random` and `output` must outlive the
--- a/libraries/proxy/call_log.cc
+++ b/libraries/proxy/call_log.cc
@@ -160,7 +160,7 @@
     Log(LogEvent::kRetries, {{"service", use.service},
                              {"requests", OneDecimal(use.requests)},
                              {"retries", OneDecimal(use.retries)},
-                             {"limit", OneDecimal(use.limit)},
+                             {"available", OneDecimal(use.available)},
                              {"granted", std::to_string(use.granted)},
                              {"denied", std::to_string(use.denied)},
                              {"nodes", std::to_string(fleet_size)}});
--- a/libraries/proxy/node_state.cc
+++ b/libraries/proxy/node_state.cc
@@ -13,7 +13,7 @@
     services.push_back({{"service", use.service},
                         {"window_requests", use.requests},
                         {"window_retries", use.retries},
-                        {"window_limit", use.limit},
+                        {"available", use.available},
                         {"granted", use.granted},
                         {"denied", use.denied}});
   }
--- a/libraries/proxy/retry_metrics.cc
+++ b/libraries/proxy/retry_metrics.cc
@@ -15,7 +15,7 @@
   };
   write("agaterun_retry_window_requests", "gauge", &Use::requests);
   write("agaterun_retry_window_retries", "gauge", &Use::retries);
-  write("agaterun_retry_window_limit", "gauge", &Use::limit);
+  write("agaterun_retries_available", "gauge", &Use::available);
   write("agaterun_retries_granted_total", "counter", &Use::granted);
   write("agaterun_retries_denied_total", "counter", &Use::denied);
   out << "# TYPE agaterun_retry_fleet_size gauge\nagaterun_retry_fleet_size "
--- a/libraries/retries/retry_quota.h
+++ b/libraries/retries/retry_quota.h
@@ -2,20 +2,29 @@
 #define LIBRARIES_RETRIES_RETRY_QUOTA_H_
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "libraries/base/time.h"
+#include "libraries/retries/sliding_sum.h"
 
 namespace agaterun::retries {
 
 // This node's fraction of the retries that the whole fleet may send to a
-// service in any time window. Each node has its own limit, computed from its
-// own requests and the size of the fleet, so that the sum stays within the
-// limit of the fleet although nodes don't report the retries that they send.
+// service in any time window: a ratio of the requests of callers, and some
+// extra. Nodes don't report the retries that they send, and a process doesn't
+// know those of its predecessor, so each has its own limit, such that the sum
+// stays within the limit of the fleet for any sequence of restarts:
+//
+// - Each request of a caller earns a fraction of a retry. Earnings may be kept
+//   for a fraction of the window; of older ones, a node keeps no more than a
+//   standing amount, taken from its part of the extra.
+// - The rest of its part of the extra need not be earned. It may be consumed
+//   once per window, but not in the first window of a process.
+//
+// A new process starts with neither, so a restart can only lower the sum.
 // FIXME: The extra retries are divided evenly, but calls to a deep service come
 // from the nodes of few services, and the fractions of all other nodes are
 // unused.
@@ -32,12 +41,14 @@
     std::string service;
     double requests = 0;        // Of callers, in the current window.
     double retries = 0;         // Consumed in the current window.
-    double limit = 0;           // Of `retries`, now.
+    double available = 0;       // Retries that may be consumed now.
     std::uint64_t granted = 0;  // Retries since the process started.
     std::uint64_t denied = 0;   // The same.
   };
 
-  explicit RetryQuota(Options options) : options(options) {}
+  // `started` is the start of the process.
+  explicit RetryQuota(Options options, Instant started = {})
+      : options(options), started(started) {}
 
   void SetOptions(Options new_options) { this->options = new_options; }
   void SetFleetSize(int nodes) { this->fleet_size = nodes > 0 ? nodes : 1; }
@@ -48,31 +59,43 @@
   void AddRequest(Instant now, std::string_view service);
 
   // Consumes `cost` retries. Returns false, and consumes nothing, if fewer are
-  // left.
+  // available.
   bool TryConsume(Instant now, std::string_view service, double cost);
 
   // Of all services, sorted by name.
   std::vector<Use> Uses(Instant now);
 
  private:
-  struct Count {
-    Instant time{};
-    double amount = 0;
-  };
-
   struct ServiceUsage {
-    std::deque<Count> requests;  // Counted in time slices.
-    std::deque<Count> retries;
-    double requests_in_window = 0;
-    double retries_in_window = 0;
+    SlidingSum requests;
+    SlidingSum recent_requests;  // Whose earnings may still be kept.
+    SlidingSum retries;
+    SlidingSum extra_retries;  // Consumed from the extra of the window.
+    double earned = 0;
     std::uint64_t granted = 0;
     std::uint64_t denied = 0;
+
+    ServiceUsage();
+  };
+
+  // This node's part of the extra retries of the fleet.
+  struct Extra {
+    double standing = 0;    // Earned retries that may be kept for long.
+    double per_window = 0;  // Retries that need not be earned.
+  };
+
+  // Retries that may be consumed, by their source.
+  struct Available {
+    double earned = 0;
+    double extra = 0;
   };
 
-  ServiceUsage& CurrentUsage(Instant now, std::string_view service);
-  double Limit(const ServiceUsage& usage) const;
+  ServiceUsage& UsageOf(std::string_view service);
+  Available AvailableFor(Instant now, ServiceUsage& usage) const;
+  Extra OwnExtra() const;
 
   Options options;
+  Instant started;
   int fleet_size = 1;
   std::map<std::string, ServiceUsage, std::less<>> usage_by_service;
 };
