Membership: A shorter list no longer enlarges a node's part of the retries

A process that knew no list yet reckoned with one node, and had all of them.

Cause: the fleet was as large as the list. Entries of endpoints that crash or can't reach the store lapse, the nodes beside them go on; a process that starts in a cut finds the other failure domains missing. The class: absence of news taken for news of absence.

Now a node reckons with the largest fleet that it has known for an hour, listed or heard of, and with no fewer nodes than its own failure domain has times the failure domains of the settings; with none while it knows none.

Cost: after a fleet has shrunk for good, its nodes use a smaller part of the extra for up to two hours.

--- a/libraries/base/settings.cc
+++ b/libraries/base/settings.cc
@@ -78,6 +78,10 @@
     this->settings.host = reader.Text("host").value_or("");
     this->settings.region = this->ReadWord(reader, "region");
     this->settings.failure_domain = this->ReadWord(reader, "failure_domain");
+    if (const auto domains = reader.Text("failure_domains"); domains) {
+      this->settings.failure_domain_count =
+          std::max<std::size_t>(1, WordsOf(*domains).size());
+    }
     this->settings.node = reader.Address("address").value_or(NodeAddress{});
     this->ReadSeeds(reader);
     this->settings.threads =
@@ -100,18 +104,24 @@
     return word;
   }
 
-  void ReadSeeds(IniSectionReader& reader) {
-    const auto text = reader.Text("seeds");
-    std::string_view rest = text ? *text : std::string_view();
-    while (!rest.empty()) {
-      const auto start = rest.find_first_not_of(" \t,");
-      if (start == std::string_view::npos) {
-        break;
-      }
+  // The words of a list, separated by commas or blanks.
+  static std::vector<std::string> WordsOf(std::string_view rest) {
+    constexpr std::string_view kSeparators = " \t,";
+    std::vector<std::string> words;
+    for (auto start = rest.find_first_not_of(kSeparators);
+         start != std::string_view::npos;
+         start = rest.find_first_not_of(kSeparators)) {
       rest.remove_prefix(start);
-      const auto end = std::min(rest.find_first_of(" \t,"), rest.size());
-      const auto seed = NodeAddress::Parse(rest.substr(0, end));
+      const auto end = std::min(rest.find_first_of(kSeparators), rest.size());
+      words.emplace_back(rest.substr(0, end));
       rest.remove_prefix(end);
+    }
+    return words;
+  }
+
+  void ReadSeeds(IniSectionReader& reader) {
+    for (const auto& word : WordsOf(reader.Text("seeds").value_or(""))) {
+      const auto seed = NodeAddress::Parse(word);
       if (!seed) {
         reader.Fail("seeds", seed.error().message);
         continue;
--- a/libraries/base/settings.h
+++ b/libraries/base/settings.h
@@ -34,6 +34,8 @@
   std::string host;  // Name in logs.
   std::string region;
   std::string failure_domain;
+  // `failure_domains`: names of all that have nodes; optional.
+  std::size_t failure_domain_count = 1;
   NodeAddress node;                // `address`: for other nodes, TCP and UDP.
   std::vector<NodeAddress> seeds;  // `seeds`: nodes to ask first; optional.
   int threads = 2;
--- a/libraries/calls/call_origin.h
+++ b/libraries/calls/call_origin.h
@@ -100,7 +100,6 @@
   void SetRetryOptions(retries::RetryQuota::Options retry_options) {
     this->budget.SetOptions(retry_options);
   }
-  void SetFleetSize(int nodes) { this->budget.SetFleetSize(nodes); }
   retries::RetryQuota& RetryBudget() { return this->budget; }
 
   // `parent` is set when the call is nested in a request that the local backend
--- a/libraries/proxy/call_log.cc
+++ b/libraries/proxy/call_log.cc
@@ -149,7 +149,7 @@
 
 void CallLog::LogRetries(Instant now,
                          const std::vector<retries::RetryQuota::Use>& uses,
-                         int fleet_size) {
+                         std::size_t fleet_size) {
   this->last_retries_logged = now;
   for (const auto& use : uses) {
     auto& logged = this->logged_retries[use.service];
--- a/libraries/proxy/call_log.h
+++ b/libraries/proxy/call_log.h
@@ -1,6 +1,7 @@
 #ifndef LIBRARIES_PROXY_CALL_LOG_H_
 #define LIBRARIES_PROXY_CALL_LOG_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -45,7 +46,7 @@
   // retries were denied, since the last call. Does so once a second.
   void LogRetries(Instant now,
                   const std::vector<retries::RetryQuota::Use>& uses,
-                  int fleet_size);
+                  std::size_t fleet_size);
   bool IsRetryLogDue(Instant now) const;
 
   std::string Metrics() const { return this->metrics.ToText(); }
--- a/libraries/proxy/node_state.h
+++ b/libraries/proxy/node_state.h
@@ -32,7 +32,7 @@
   // The client accounts that use most of their limits.
   std::vector<accounts::AccountQuotas::AccountUse> accounts;
   std::vector<retries::RetryQuota::Use> retries;
-  int retry_fleet_size = 0;              // Nodes that share the extra retries.
+  std::size_t retry_fleet_size = 0;      // Nodes that share the extra retries.
   std::uint64_t connections_opened = 0;  // Opened to the backend server.
   const std::unordered_map<NodeAddress, membership::FleetNode>& nodes;
 
--- a/libraries/proxy/proxy_node.cc
+++ b/libraries/proxy/proxy_node.cc
@@ -46,6 +46,7 @@
       fleet({.self = this->settings.node,
              .node_port = this->settings.node.port,
              .failure_domain = this->settings.failure_domain}),
+      fleet_size(this->settings.failure_domain_count),
       gate({.service = this->settings.service},
            this->dialect,
            this->crashes,
@@ -139,6 +140,7 @@
   this->settings.service = new_settings.service;
   this->settings.strict_keys = new_settings.strict_keys;
   this->settings.max_key_age = new_settings.max_key_age;
+  this->fleet_size.SetFailureDomains(new_settings.failure_domain_count);
   this->planned_stop.SetGrace(new_settings.stop_grace);
   this->gate.SetService(new_settings.service);
   this->origin.SetService(new_settings.service);
@@ -371,10 +373,8 @@
     this->SendHeartbeats();
   }
   if (now >= this->next_fleet_check) {
-    // Setting the list again removes unlisted nodes that have become
-    // unresponsive.
     this->next_fleet_check = now + kFleetCheckInterval;
-    this->fleet.SetList(now, this->directory.Endpoints().Entries());
+    this->UpdateFleet();
   }
   this->UpdateReadingMode();
   this->LogRestore();
--- a/libraries/proxy/proxy_node.h
+++ b/libraries/proxy/proxy_node.h
@@ -20,6 +20,7 @@
 #include "libraries/membership/directory_keeper.h"
 #include "libraries/membership/directory_source.h"
 #include "libraries/membership/fleet.h"
+#include "libraries/membership/fleet_size.h"
 #include "libraries/membership/heartbeat_plan.h"
 #include "libraries/membership/local_entry_tracker.h"
 #include "libraries/membership/state_gossip.h"
@@ -151,6 +152,9 @@
   std::string RequestIdOf(const HttpRequest& request) const;
   // Applies a changed endpoint list to the fleet, the origin and the gate.
   void ApplyEndpoints();
+  // Sets the list in the fleet. Doing so again removes unlisted nodes that have
+  // become unresponsive.
+  void UpdateFleet();
   // Requests state from the sender of the heartbeat if it is in this failure
   // domain and has a later state.
   void RequestNewerState(const decision::Heartbeat& heartbeat);
@@ -209,6 +213,7 @@
   std::uint64_t incarnation;
   std::uint64_t key_seed;  // Of the hash table of account keys.
   membership::Fleet fleet;
+  membership::FleetSize fleet_size;
   retries::CrashHistory crashes;
   calls::VisitGate gate;
   calls::CallOrigin origin;
--- a/libraries/proxy/proxy_node_platform.cc
+++ b/libraries/proxy/proxy_node_platform.cc
@@ -44,10 +44,16 @@
   this->UpdateLocalEntry(/*is_authoritative=*/true);
 }
 
+void ProxyNode::UpdateFleet() {
+  const auto now = this->Now();
+  this->fleet.SetList(now, this->directory.Endpoints().Entries());
+  this->fleet_size.Record(now, this->fleet.All().size(),
+                          this->fleet.NodesOfOwnDomain().size());
+  this->origin.RetryBudget().SetFleetSize(this->fleet_size.Nodes());
+}
+
 void ProxyNode::ApplyEndpoints() {
-  const auto entries = this->directory.Endpoints().Entries();
-  this->fleet.SetList(this->Now(), entries);
-  this->origin.SetFleetSize(static_cast<int>(entries.size()));
+  this->UpdateFleet();
   const bool is_up_to_date = this->directory.Reading(this->Now()) ==
                              decision::PlatformReading::kUpToDate;
   this->UpdateLocalEntry(/*is_authoritative=*/is_up_to_date);
--- a/libraries/proxy/retry_metrics.cc
+++ b/libraries/proxy/retry_metrics.cc
@@ -7,7 +7,7 @@
 namespace agaterun::proxy {
 
 std::string RetryMetrics(const std::vector<retries::RetryQuota::Use>& uses,
-                         int fleet_size) {
+                         std::size_t fleet_size) {
   using Use = retries::RetryQuota::Use;
   std::ostringstream out;
   const auto write = [&](const char* name, const char* type, auto Use::*value) {
--- a/libraries/proxy/retry_metrics.h
+++ b/libraries/proxy/retry_metrics.h
@@ -1,6 +1,7 @@
 #ifndef LIBRARIES_PROXY_RETRY_METRICS_H_
 #define LIBRARIES_PROXY_RETRY_METRICS_H_
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -11,7 +12,7 @@
 // Retries of this node by service, allowed and consumed, in Prometheus text
 // format.
 std::string RetryMetrics(const std::vector<retries::RetryQuota::Use>& uses,
-                         int fleet_size);
+                         std::size_t fleet_size);
 
 }  // namespace agaterun::proxy
 
--- a/libraries/retries/retry_quota.cc
+++ b/libraries/retries/retry_quota.cc
@@ -32,7 +32,11 @@
 }
 
 RetryQuota::Extra RetryQuota::OwnExtra() const {
-  const double part = kSafetyFactor * this->options.extra / this->fleet_size;
+  if (this->fleet_size == 0) {
+    return {};
+  }
+  const double part = kSafetyFactor * this->options.extra /
+                      static_cast<double>(this->fleet_size);
   // With less than a whole retry to keep, requests at a node that receives few
   // of them would never earn one.
   const double standing = std::min(part, std::max(part / 2, 1.0));
--- a/libraries/retries/retry_quota.h
+++ b/libraries/retries/retry_quota.h
@@ -1,6 +1,7 @@
 #ifndef LIBRARIES_RETRIES_RETRY_QUOTA_H_
 #define LIBRARIES_RETRIES_RETRY_QUOTA_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -51,9 +52,10 @@
       : options(options), started(started) {}
 
   void SetOptions(Options new_options) { this->options = new_options; }
-  void SetFleetSize(int nodes) { this->fleet_size = nodes > 0 ? nodes : 1; }
-  // Number of nodes that the extra retries are divided among.
-  int FleetSize() const { return this->fleet_size; }
+  // Sets the number of nodes that the extra retries are divided among. While it
+  // is zero, this node has none of them.
+  void SetFleetSize(std::size_t nodes) { this->fleet_size = nodes; }
+  std::size_t FleetSize() const { return this->fleet_size; }
 
   // Counts a request of a caller for the service.
   void AddRequest(Instant now, std::string_view service);
@@ -96,7 +98,7 @@
 
   Options options;
   Instant started;
-  int fleet_size = 1;
+  std::size_t fleet_size = 0;
   std::map<std::string, ServiceUsage, std::less<>> usage_by_service;
 };
 
--- a/tests/base/settings_test.cc
+++ b/tests/base/settings_test.cc
@@ -195,6 +195,18 @@
   BOOST_TEST((read->stop_grace == 6s));
 }
 
+BOOST_AUTO_TEST_CASE(CountsFailureDomains) {
+  const auto alone = ParseSettings(kStore);
+  BOOST_TEST_REQUIRE(alone.has_value());
+  BOOST_TEST(alone->failure_domain_count == 1U);
+  std::string text = kStore;
+  const std::string line = "failure_domain = a\n";
+  text.insert(text.find(line) + line.size(), "failure_domains = a,b, c\n");
+  const auto read = ParseSettings(text);
+  BOOST_TEST_REQUIRE(read.has_value());
+  BOOST_TEST(read->failure_domain_count == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(ReadsQuotasAndKeys) {
   const auto defaults = ParseSettings(kStore);
   BOOST_TEST_REQUIRE(defaults.has_value());
--- a/tests/retries/retry_fleet.cc
+++ b/tests/retries/retry_fleet.cc
@@ -47,7 +47,7 @@
                     .extra = this->options.extra,
                     .window = this->options.window},
                    kStep * static_cast<int>(this->requests.size()));
-  quota.SetFleetSize(this->options.nodes);
+  quota.SetFleetSize(static_cast<std::size_t>(this->options.nodes));
   return quota;
 }
 
--- a/tests/retries/retry_quota_test.cc
+++ b/tests/retries/retry_quota_test.cc
@@ -65,6 +65,7 @@
 // then may have few requests.
 BOOST_AUTO_TEST_CASE(EarningsAreKeptForFractionOfWindow) {
   RetryQuota quota({.ratio = 0.2, .extra = 4, .window = 10s});
+  quota.SetFleetSize(1);
   for (int request = 0; request < 1000; ++request) {
     quota.AddRequest(100s, "ledger");
   }
@@ -76,6 +77,14 @@
   BOOST_TEST(taken == 3);
 }
 
+// Failure: until a process knew other nodes, it took all of the extra retries.
+BOOST_AUTO_TEST_CASE(NodeThatDoesNotKnowFleetHasNoExtra) {
+  RetryQuota quota({.ratio = 0.2, .extra = 48, .window = 10s});
+  BOOST_TEST(!quota.TryConsume(100s, "ledger", 1));
+  quota.SetFleetSize(12);
+  BOOST_TEST(quota.TryConsume(100s, "ledger", 1));
+}
+
 // Nodes that exchange no reports of their retries must stay within the limit of
 // the whole fleet in every sliding window.
 BOOST_AUTO_TEST_CASE(FleetStaysWithinLimitInEveryWindow) {
