Retries: A request that another instance has rejected uses the budget

After a response 421 the request went to the next endpoint as if it had reached none, so that arrivals at an address that had changed hands counted as nothing. They are arrivals that an endpoint rejects.

The reply to such a visit now says that the request was offered, and the origin takes each reply that says so as a retry, whatever the reason. The row of ExchangeEndDeterminesOutcome for 421 said that it was not offered; it is as strict the other way round. RetryAfterOtherInstanceUsesRetryBudget failed before (sent twice with an empty budget). Nodes of the build before still say "not offered" and are handled as before.

Looked through, nothing to mend: refusals of a gate (no arrival), requests not sent (no byte written), capacity queries, exchanges that broke off, lost attempts and unresponsive nodes (all counted), failures passed on (counted).

--- a/libraries/calls/call_origin.cc
+++ b/libraries/calls/call_origin.cc
@@ -225,18 +225,18 @@
   if (reply.retry_after > Duration{}) {
     call.retry_after = reply.retry_after;
   }
+  // A request that a backend server has rejected has reached it, so that the
+  // next attempt is a retry.
+  if (reply.offered && !this->MayRetry(now, call, 1)) {
+    this->RefuseCall(now, call);
+    return;
+  }
   switch (reply.reason) {
     case Reason::kOverloaded:
       // Another endpoint may have free capacity.
       this->Dispatch(now, call, /*needs_free_slot=*/!call.parent);
       return;
     case Reason::kBackendRejected:
-      if (!this->MayRetry(now, call, 1)) {
-        this->RefuseCall(now, call);
-        return;
-      }
-      this->Dispatch(now, call, /*needs_free_slot=*/false);
-      return;
     case Reason::kLeaving:
     case Reason::kBackendDown:
     case Reason::kNoSuchService:
--- a/libraries/calls/visit_gate_responses.cc
+++ b/libraries/calls/visit_gate_responses.cc
@@ -86,7 +86,7 @@
     case ResponseClass::kOtherInstance:
       this->queue.Released();
       this->SendVisitReply(now, visit, Outcome::kNotRun, Reason::kBackendDown,
-                           false, nullptr);
+                           /*offered=*/true, nullptr);
       // The entry may have been replaced while the request was in flight.
       if (this->entry && this->entry->id == visit.instance) {
         this->entry.reset();
--- a/tests/calls/call_origin_test.cc
+++ b/tests/calls/call_origin_test.cc
@@ -240,6 +240,19 @@
   }
 }
 
+// Failure: a request that another instance had rejected was sent again without
+// use of the retry budget.
+BOOST_FIXTURE_TEST_CASE(RetryAfterOtherInstanceUsesRetryBudget, Fixture) {
+  this->SendRequest(1, "/send/1");
+  this->DeliverReply(Outcome::kNotRun, Reason::kBackendDown, /*offered=*/true);
+  BOOST_TEST(this->output.sent.size() == 1U);
+  BOOST_TEST(this->ResponseStatus(1) == 503);
+  this->FillRetryBudget();
+  this->SendRequest(2, "/send/1");
+  this->DeliverReply(Outcome::kNotRun, Reason::kBackendDown, /*offered=*/true);
+  BOOST_TEST(this->output.sent.size() == 2U);
+}
+
 BOOST_FIXTURE_TEST_CASE(RefusedByAllEndpointsReturns503, Fixture) {
   this->SendRequest(1, "/send/1");
   for (int node = 0; node < 3; ++node) {
--- a/tests/calls/visit_gate_test.cc
+++ b/tests/calls/visit_gate_test.cc
@@ -178,7 +178,7 @@
       {ExchangeResult::kResponded, MakeResponse(503, {"Not-Run"}),
        Outcome::kNotRun, true},
       {ExchangeResult::kResponded, MakeResponse(421, {"Instance"}),
-       Outcome::kNotRun, false},
+       Outcome::kNotRun, true},
       {ExchangeResult::kResponded, MakeResponse(200, {}), Outcome::kUnknown,
        true},
       {ExchangeResult::kResponded, MakeResponse(503, {}), Outcome::kUnknown,
