Platform: An odd entry among the endpoints costs no other, and is logged once

Report of other operators: one entry that is deeply nested, or has a number too large or a port out of range, ended the nodes that read the list, or they stopped following it. By tests that can't happen here; four faults of the kind could:

Entries over 16 KB are refused before they are parsed. - An integer between 2^63 and 2^64 wrapped: such a Seq was accepted. - An item with a value that isn't a string made its whole page fail. - A key without the endpoints' prefix would have thrown; refused entries were dropped silently. Event 515 names each once per reason.

Of the rows and cases added, Seq of 2^63, the size of the error text, the nested entry over 16 KB and the three of StoreReaderTest (by \`refused\`, which is new) are those that the code before does not meet. platform_adapter, membership, base pass in the debug build.

--- a/libraries/membership/directory_source.h
+++ b/libraries/membership/directory_source.h
@@ -32,9 +32,17 @@
     EnumName<ReadingMode>{ReadingMode::kResting, "resting"},
 };
 
+// An entry of the platform's list that names no endpoint, because it can't be
+// read or has fields that are missing or invalid.
+struct RefusedEntry {
+  std::string id;
+  std::string why;
+};
+
 // All endpoints that the platform lists.
 struct EndpointList {
   std::vector<EndpointEntry> entries;
+  std::vector<RefusedEntry> refused;
   // Of the platform's service, when read; see revision.h.
   std::uint64_t revision = 0;
   bool is_current = true;  // False if it may be seconds old.
@@ -52,7 +60,9 @@
   std::vector<EndpointEntry> entries;
   // Ids of removed endpoints with the revisions of the removals.
   std::vector<std::pair<std::string, std::uint64_t>> removed;
-  Duration changes_followed_for{};  // As in EndpointList; not serialized.
+  // As in EndpointList; not serialized.
+  std::vector<RefusedEntry> refused;
+  Duration changes_followed_for{};
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -64,8 +74,9 @@
 // The platform's entry of the backend server on this host.
 struct LocalEndpoint {
   std::string id;  // Requested id.
-  // Nullopt when the entry has been removed.
+  // Nullopt when the entry has been removed or is refused.
   std::optional<EndpointEntry> entry;
+  std::optional<RefusedEntry> refused;
   // Of the removal; only its era if the rest is unknown.
   std::uint64_t revision = 0;
 };
--- a/libraries/proxy/proxy_node.h
+++ b/libraries/proxy/proxy_node.h
@@ -23,6 +23,7 @@
 #include "libraries/membership/fleet_size.h"
 #include "libraries/membership/heartbeat_plan.h"
 #include "libraries/membership/local_entry_tracker.h"
+#include "libraries/membership/refused_entries.h"
 #include "libraries/membership/state_gossip.h"
 #include "libraries/node/log_limiter.h"
 #include "libraries/node/node_links.h"
@@ -160,6 +161,7 @@
   void RequestNewerState(const decision::Heartbeat& heartbeat);
   void RequestState(NodeAddress peer);
   void UpdateReadingMode();
+  void LogRefused(const membership::RefusedEntry& entry);
   // Logs a restore of the platform's service that has become known.
   void LogRestore();
   // With strict keys, requests that need a key are refused while the state of
@@ -224,6 +226,7 @@
   // Use of the account limits by the callers of other nodes.
   admission::FleetDemand peer_account_use;
   membership::LocalEntryTracker local_entry;
+  membership::RefusedEntries refused_entries;
   membership::ReadingMode reading_mode = membership::ReadingMode::kAlone;
   decision::CallId call_ids = 1;
   std::unordered_map<decision::AttemptId, NodeAddress> visit_origins;
--- a/libraries/proxy/proxy_node_platform.cc
+++ b/libraries/proxy/proxy_node_platform.cc
@@ -25,19 +25,34 @@
   this->origin.SetConfiguration(std::move(configuration), this->key_seed);
 }
 
+void ProxyNode::LogRefused(const membership::RefusedEntry& entry) {
+  if (this->refused_entries.ShouldReport(entry)) {
+    Log(LogEvent::kEntryRefused, {{"entry", entry.id}, {"why", entry.why}});
+  }
+}
+
 void ProxyNode::OnEndpointList(membership::EndpointList list) {
+  for (const auto& entry : list.refused) {
+    this->LogRefused(entry);
+  }
   if (this->directory.ApplyList(this->Now(), list)) {
     this->ApplyEndpoints();
   }
 }
 
 void ProxyNode::OnEndpointChanges(membership::EndpointChanges changes) {
+  for (const auto& entry : changes.refused) {
+    this->LogRefused(entry);
+  }
   if (this->directory.ApplyChanges(this->Now(), changes)) {
     this->ApplyEndpoints();
   }
 }
 
 void ProxyNode::OnLocalEndpoint(membership::LocalEndpoint endpoint) {
+  if (endpoint.refused) {
+    this->LogRefused(*endpoint.refused);
+  }
   if (this->directory.ApplyLocalEndpoint(this->Now(), endpoint)) {
     this->ApplyEndpoints();
   }
--- a/tests/platform_adapter/endpoint_json_test.cc
+++ b/tests/platform_adapter/endpoint_json_test.cc
@@ -49,6 +49,27 @@
       {R"("Seq":4)", R"("Seq":"4")"},
       {R"(1700000000123)", R"("now")"},
       {R"(1700000000123)", "-5"},
+      {R"(1700000000123)", "99999999999999999999"},
+      {R"(1700000000123)", "[[1]]"},
+      {R"("10.128.0.9:8080")", R"("10.128.0.9:0")"},
+      {R"("10.128.0.9:8080")", R"("10.128.0.9:65536")"},
+      {R"("10.128.0.9:8080")", R"("10.128.0.9:99999999999")"},
+      {R"("10.128.0.9:8080")", R"("10.128.0.9:-1")"},
+      {R"("10.128.0.9:8080")", R"("10.128.0.900:8080")"},
+      {R"("10.128.0.9:8080")", R"({"Ip":"10.128.0.9","Port":8080})"},
+      {R"("Slots":91)", R"("Slots":-1)"},
+      {R"("Slots":91)", R"("Slots":100001)"},
+      {R"("Slots":91)", R"("Slots":4294967387)"},
+      {R"("Slots":91)", R"("Slots":9223372036854775899)"},
+      {R"("Slots":91)", R"("Slots":18446744073709551616)"},
+      {R"("Slots":91)", R"("Slots":1e400)"},
+      {R"("Slots":91)", R"("Slots":[91])"},
+      {R"("Seq":4)", R"("Seq":9223372036854775808)"},
+      {R"("Seq":4)", R"("Seq":18446744073709551616)"},
+      {R"("Seq":4)", R"("Seq":-1e999)"},
+      {R"("ColdLeft":"1500ms")", R"("ColdLeft":"99999999999999999999s")"},
+      {R"("ColdLeft":"1500ms")", R"("ColdLeft":"1e999s")"},
+      {R"("ColdLeft":"1500ms")", R"("ColdLeft":"-1ms")"},
   };
   for (const auto& [old_text, new_text] : rows) {
     std::string text = kCompleteEntry;
@@ -62,6 +83,39 @@
   BOOST_TEST(!DecodeEndpointJson("i-1", "[]").has_value());
 }
 
+std::string Nested(std::size_t depth) {
+  return std::string(depth, '[') + std::string(depth, ']');
+}
+
+// Failure at systems like this one: nodes that read a deeply nested entry ended
+// again and again. Here, one of 1 MB took 80 MB of memory to parse.
+BOOST_AUTO_TEST_CASE(DeeplyNestedEntryIsRefusedOrIgnoredWhereUnknown) {
+  for (const std::size_t depth : {100U, 5'000U, 8'000U}) {
+    BOOST_TEST(!DecodeEndpointJson("i-1", Nested(depth)).has_value());
+    BOOST_TEST(!DecodeEndpointJson("i-1", std::string(depth, '[')).has_value());
+    std::string around = kCompleteEntry;
+    around.insert(1, R"("Labels":)" + Nested(depth) + ",");
+    // A field that isn't known says nothing.
+    BOOST_TEST(DecodeEndpointJson("i-1", around).has_value() ==
+               (around.size() <= 16U * 1024));
+    std::string inside = kCompleteEntry;
+    const std::string slots = R"("Slots":91)";
+    inside.replace(inside.find(slots), slots.size(),
+                   R"("Slots":)" + Nested(depth));
+    BOOST_TEST(!DecodeEndpointJson("i-1", inside).has_value());
+  }
+  const auto large = DecodeEndpointJson("i-1", Nested(500'000));
+  BOOST_TEST_REQUIRE(!large.has_value());
+  BOOST_TEST(large.error().message.find("larger than 16384 bytes") !=
+             std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(ErrorShowsBeginningOfLongText) {
+  std::string text = kCompleteEntry;
+  text.replace(text.find("ready"), 5, std::string(10'000, 'x'));
+  BOOST_TEST(DecodeEndpointJson("i-1", text).error().message.size() < 200U);
+}
+
 BOOST_AUTO_TEST_CASE(DecodesDrainingEntryAsLeaving) {
   std::string text = kCompleteEntry;
   text.replace(text.find("ready"), 5, "draining");
--- a/tests/platform_adapter/store_reader_test.cc
+++ b/tests/platform_adapter/store_reader_test.cc
@@ -60,6 +60,33 @@
          R"(","ColdLeft":"0ms","Seq":4})";
 }
 
+// Entries that another writer may leave among those of the endpoints.
+std::vector<std::string> OddEntries() {
+  const auto with_slots = [](const char* slots) {
+    auto text = Endpoint("ready");
+    text.replace(text.find("9,\"State"), 1, slots);
+    return text;
+  };
+  const auto with_port = [](const char* port) {
+    auto text = Endpoint("ready");
+    text.replace(text.find("8080"), 4, port);
+    return text;
+  };
+  return {std::string(700'000, '['),
+          std::string(2'000, '[') + std::string(2'000, ']'),
+          with_slots("18446744073709551616"),
+          with_slots("9223372036854775899"),
+          with_slots("1e999"),
+          with_slots("{}"),
+          with_port("0"),
+          with_port("65536"),
+          with_port("-8080"),
+          with_port("99999999999999999999"),
+          R"({"Service":7})",
+          "\xff",
+          ""};
+}
+
 struct Fixture {
   bool RunUntil(const std::function<bool()>& done) {
     return fakes::RunUntil(this->io, done);
@@ -167,6 +194,64 @@
   BOOST_TEST(this->observer.list.is_current);
 }
 
+// Failure at systems like this one: one odd entry ended the nodes that read the
+// list, or they stopped following it.
+BOOST_FIXTURE_TEST_CASE(OddEntryInListCostsNoOther, Fixture) {
+  const auto odd = OddEntries();
+  for (std::size_t entry = 0; entry < odd.size(); ++entry) {
+    this->store.Put("servers/odd" + std::to_string(entry), odd[entry]);
+  }
+  this->store.Put("servers/a", Endpoint("ready"));
+  this->store.Put("servers/z", Endpoint("ready"));
+  this->reader.Start();
+  BOOST_TEST(this->RunUntil([&] { return this->observer.list_count > 0; }));
+  BOOST_TEST(this->observer.list.entries.size() == 2U);
+  BOOST_TEST(this->observer.list.refused.size() == odd.size());
+  for (const auto& entry : this->observer.list.refused) {
+    BOOST_TEST(entry.id.starts_with("odd"));
+    BOOST_TEST(!entry.why.empty());
+    BOOST_TEST(entry.why.size() < 300U);
+  }
+}
+
+// The same, in a watch.
+BOOST_FIXTURE_TEST_CASE(OddEntryInWatchCostsNoOther, LongWatchFixture) {
+  this->store.Put("servers/a", Endpoint("ready"));
+  this->reader.Start();
+  this->reader.SetMode(membership::ReadingMode::kWatching);
+  BOOST_TEST(this->RunUntil([&] { return this->store.WatchCount() > 0; }));
+  for (const auto& text : OddEntries()) {
+    const int changes = this->observer.change_count;
+    this->store.Put("servers/odd", text);
+    BOOST_TEST(
+        this->RunUntil([&] { return this->observer.change_count > changes; }));
+    BOOST_TEST(this->observer.changes.refused.size() == 1U);
+    BOOST_TEST(this->observer.changes.removed.size() == 1U);
+    this->store.Put("servers/a", Endpoint("draining"));
+    BOOST_TEST(this->RunUntil([&] {
+      return this->observer.change_count > changes + 1 &&
+             this->observer.changes.entries.size() == 1U;
+    }));
+  }
+}
+
+// The same, in the entry of the local backend server.
+BOOST_FIXTURE_TEST_CASE(OddLocalEntryIsRefusedUntilReplaced, Fixture) {
+  this->store.Put("servers/me", Endpoint("ready"));
+  this->reader.Start();
+  this->reader.WatchLocalEndpoint("me");
+  BOOST_TEST(this->RunUntil([&] { return this->observer.local_count > 0; }));
+  for (const auto& text : OddEntries()) {
+    this->store.Put("servers/me", text);
+    BOOST_TEST(this->RunUntil(
+        [&] { return this->observer.local.refused.has_value(); }));
+    BOOST_TEST(!this->observer.local.entry.has_value());
+    this->store.Put("servers/me", Endpoint("ready"));
+    BOOST_TEST(
+        this->RunUntil([&] { return this->observer.local.entry.has_value(); }));
+  }
+}
+
 // After the first list, stale ones are sufficient: they only have to name the
 // other nodes, and are cheap for the store.
 BOOST_FIXTURE_TEST_CASE(RequestsOneCurrentListThenStaleLists, Fixture) {
