Retries: A request's nested calls count also without a recent load report

The cost of a retry includes the calls that the request makes, by the load reports of the last 5 s. When none had come for longer, as after a quiet time or in a cut, the retry cost as little as one without calls. How many calls a request makes is no matter of load, so the latest report counts, however old.

RetryCostsNestedCallsAlsoWithoutRecentReport failed before (the lost attempt was sent again). A service whose nodes have all just started reports no calls until the first requests have run; that remains.

--- a/libraries/calls/call_origin.cc
+++ b/libraries/calls/call_origin.cc
@@ -168,7 +168,7 @@
     // A request without nested calls may succeed at another endpoint. One with
     // nested calls has most likely failed because of these.
     if (answer->status >= http_status::kServerErrors &&
-        call->route->IsIdempotent() && this->RetryCost(now, *call) <= 1) {
+        call->route->IsIdempotent() && this->RetryCost(*call) <= 1) {
       call->tried.push_back(node);
       const auto other =
           this->MayRetry(now, *call, 1)
@@ -191,12 +191,12 @@
   }
 }
 
-double CallOrigin::RetryCost(Instant now, const Call& call) {
+double CallOrigin::RetryCost(const Call& call) {
+  // How many calls a request makes depends on the service, not on its load, so
+  // old reports count as well.
   double calls = 0;
   for (const auto* node : this->fleet.NodesOf(call.service)) {
-    if (node->load_reported_at && now - *node->load_reported_at < 5s) {
-      calls = std::max(calls, node->load.calls_per_request);
-    }
+    calls = std::max(calls, node->load.calls_per_request);
   }
   // Each nested call of a retried request counts as a retry at the service it
   // goes to, and may cause further retries there.
@@ -253,7 +253,7 @@
   call.may_have_run = true;
   call.reason = reason;
   if (call.route->IsIdempotent() &&
-      this->MayRetry(now, call, this->RetryCost(now, call))) {
+      this->MayRetry(now, call, this->RetryCost(call))) {
     this->Dispatch(now, call, /*needs_free_slot=*/false);
     return;
   }
--- a/libraries/calls/call_origin.h
+++ b/libraries/calls/call_origin.h
@@ -226,7 +226,7 @@
   // Handles an attempt that may have run and returned no response.
   void HandleUnknownOutcome(Instant now, Call& call, decision::Reason reason);
   bool MayRetry(Instant now, Call& call, double cost);
-  double RetryCost(Instant now, const Call& call);
+  double RetryCost(const Call& call);
   // Refuses the call when the capacity doesn't suffice for the load that it
   // causes. `caller_deadline` is the deadline that the caller set. Returns true
   // when the call was refused.
--- a/tests/calls/call_origin_test.cc
+++ b/tests/calls/call_origin_test.cc
@@ -253,6 +253,27 @@
   BOOST_TEST(this->output.sent.size() == 2U);
 }
 
+// Failure: a few seconds after the last load report, a request with nested
+// calls was retried at the cost of one without.
+BOOST_FIXTURE_TEST_CASE(RetryCostsNestedCallsAlsoWithoutRecentReport, Fixture) {
+  this->load.calls_per_request = 1;
+  this->SendRequest(1, "/read/1");
+  this->DeliverReply(Outcome::kCompleted, Reason::kNone);
+  this->now += 10s;
+  for (const auto& [node, state] : this->fleet.All()) {
+    this->fleet.Received(this->now, node);
+  }
+  // Earn more than one retry, and less than one with its nested calls.
+  for (decision::CallId call = 2; call <= 12; ++call) {
+    this->SendRequest(call, "/read/1");
+  }
+  const auto sent = this->output.sent.size();
+  const auto attempt = this->output.sent.back().visit.attempt;
+  this->origin.OnAttemptLost(this->now, attempt, /*was_sent=*/true);
+  BOOST_TEST(this->output.sent.size() == sent);
+  BOOST_TEST(this->ResponseStatus(attempt.call) == 502);
+}
+
 BOOST_FIXTURE_TEST_CASE(RefusedByAllEndpointsReturns503, Fixture) {
   this->SendRequest(1, "/send/1");
   for (int node = 0; node < 3; ++node) {
