Backend server: A kept connection is not closed by a response that comes early

What callers saw: nothing; a connection to the backend server was closed in place of being kept. Of KNOWN-RED: CloseOfReusedConnectionDoesNotResendRequest failed now and then (bad optional access, as the test waits for the second request on the first connection).

Cause, traced by the code and by the rate: a connection is kept when its request was written before the response was complete, and "written" was set by the completion of an asynchronous write. The wait for input is pending longer, so its completion may run first although the socket has taken the whole request. The request is now written at once as far as the socket takes it; only the rest, if there is any, is written asynchronously.

The connection of the store path has the same order of completions (endpoint_connection.cc); a response there that is handled before the completion of the write costs one new connection, and none was seen to.

--- a/libraries/backend_server/backend_connection.cc
+++ b/libraries/backend_server/backend_connection.cc
@@ -65,18 +65,31 @@
 void BackendConnection::Send(BackendRequest request) {
   this->request = std::move(request);
   this->phase = Phase::kBusy;
-  this->writing = true;
   if (this->request.is_head) {
     this->parser.ExpectNoBody();
   }
-  asio::async_write(this->socket, asio::buffer(this->request.bytes),
-                    [self = this->shared_from_this()](
-                        const std::error_code& error, std::size_t count) {
-                      self->OnWritten(error, count);
-                    });
+  this->Write();
   this->WaitForInput();
 }
 
+void BackendConnection::Write() {
+  // Most requests fit into the socket's buffer. The response to one that was
+  // written as a whole may be handled before the completion of an asynchronous
+  // write, so that the request would still count as being written.
+  std::error_code error;
+  const std::size_t written =
+      this->socket.write_some(asio::buffer(this->request.bytes), error);
+  if (!error && written == this->request.bytes.size()) {
+    return;
+  }
+  this->writing = true;
+  asio::async_write(this->socket, asio::buffer(this->request.bytes) + written,
+                    [self = this->shared_from_this(), written](
+                        const std::error_code& write_error, std::size_t count) {
+                      self->OnWritten(write_error, written + count);
+                    });
+}
+
 bool BackendConnection::IsUsable() {
   char byte = 0;
   std::error_code error;
--- a/libraries/backend_server/backend_connection.h
+++ b/libraries/backend_server/backend_connection.h
@@ -92,6 +92,8 @@
   void OnBytes(std::string_view bytes);
   void OnResponseComplete(bool trailing_bytes);
   void OnConnectionEnded(const std::string& detail);
+  // Sends the request, as far as possible without waiting.
+  void Write();
   void OnWritten(const std::error_code& error, std::size_t count);
   void Break(ConnectionFailure reason);
 
