Proxy: What a node shows stands in a file of its own

proxy_node.cc had grown to 451 lines with three jobs; readiness, metrics and the state dump move to proxy_node_views.cc as they were. 403 and 58 lines now.

--- a/libraries/proxy/proxy_node.cc
+++ b/libraries/proxy/proxy_node.cc
@@ -5,9 +5,6 @@
 
 #include "libraries/base/log.h"
 #include "libraries/http/message_writer.h"
-#include "libraries/proxy/account_metrics.h"
-#include "libraries/proxy/link_metrics.h"
-#include "libraries/proxy/retry_metrics.h"
 
 namespace agaterun::proxy {
 
@@ -24,9 +21,6 @@
 
 constexpr Duration kQuotaUpdateInterval = 100ms;
 
-// Client accounts in the state dump and in the metrics.
-constexpr std::size_t kShownAccounts = 20;
-
 // Connect timeout for connections to other nodes.
 constexpr Duration kLinkTimeout = 1s;
 
@@ -126,16 +120,6 @@
   return {};
 }
 
-std::unique_ptr<ProbeServer> ProxyNode::MakeProbeServer(NodeAddress listen) {
-  return std::make_unique<ProbeServer>(
-      this->io,
-      ProbeServer::Options{.listen = listen,
-                           .probe_path = this->dialect.probe_path},
-      ProbeServer::Source{.is_ready = [this] { return this->IsReady(); },
-                          .metrics = [this] { return this->Metrics(); },
-                          .state = [this] { return this->State().ToJson(); }});
-}
-
 void ProxyNode::SetSettings(const NodeSettings& new_settings) {
   this->settings.service = new_settings.service;
   this->settings.strict_keys = new_settings.strict_keys;
@@ -416,36 +400,4 @@
   }
 }
 
-std::string ProxyNode::Metrics() {
-  auto& retries = this->origin.RetryBudget();
-  return this->call_log.Metrics() +
-         RetryMetrics(retries.Uses(this->Now()), retries.FleetSize()) +
-         AccountMetrics(
-             this->origin.Quotas().HighestUse(this->Now(), kShownAccounts)) +
-         LinkMetrics(this->links->Sent(
-                         [this](auto to) { return this->IsInOwnDomain(to); }),
-                     this->links->Sent(
-                         [this](auto to) { return !this->IsInOwnDomain(to); }));
-}
-
-NodeState ProxyNode::State() {
-  auto& retries = this->origin.RetryBudget();
-  return {
-      .configuration = this->gossip.Version(),
-      .endpoint_list = this->directory.Endpoints().CompleteRevision(),
-      .reading_mode = this->reading_mode,
-      .platform_reached = this->platform_reached.value_or(false),
-      .stopping = this->planned_stop.HasStarted(),
-      .calls_in_flight = this->origin.CallsInFlight(),
-      .service = this->gate.Service(),
-      .instance = this->gate.Entry() ? this->gate.Entry()->id : "",
-      .load = this->gate.Load(this->Now()),
-      .notice = this->gate.Notice(),
-      .accounts = this->origin.Quotas().HighestUse(this->Now(), kShownAccounts),
-      .retries = retries.Uses(this->Now()),
-      .retry_fleet_size = retries.FleetSize(),
-      .connections_opened = this->pool->ConnectionsOpened(),
-      .nodes = this->fleet.All()};
-}
-
 }  // namespace agaterun::proxy
--- /dev/null
+++ b/libraries/proxy/proxy_node_views.cc
@@ -0,0 +1,58 @@
+#include "libraries/proxy/account_metrics.h"
+#include "libraries/proxy/link_metrics.h"
+#include "libraries/proxy/proxy_node.h"
+#include "libraries/proxy/retry_metrics.h"
+
+// What ProxyNode shows: readiness, metrics and its state.
+namespace agaterun::proxy {
+
+namespace {
+
+// Client accounts in the state dump and in the metrics.
+constexpr std::size_t kShownAccounts = 20;
+
+}  // namespace
+
+std::unique_ptr<ProbeServer> ProxyNode::MakeProbeServer(NodeAddress listen) {
+  return std::make_unique<ProbeServer>(
+      this->io,
+      ProbeServer::Options{.listen = listen,
+                           .probe_path = this->dialect.probe_path},
+      ProbeServer::Source{.is_ready = [this] { return this->IsReady(); },
+                          .metrics = [this] { return this->Metrics(); },
+                          .state = [this] { return this->State().ToJson(); }});
+}
+
+std::string ProxyNode::Metrics() {
+  auto& retries = this->origin.RetryBudget();
+  return this->call_log.Metrics() +
+         RetryMetrics(retries.Uses(this->Now()), retries.FleetSize()) +
+         AccountMetrics(
+             this->origin.Quotas().HighestUse(this->Now(), kShownAccounts)) +
+         LinkMetrics(this->links->Sent(
+                         [this](auto to) { return this->IsInOwnDomain(to); }),
+                     this->links->Sent(
+                         [this](auto to) { return !this->IsInOwnDomain(to); }));
+}
+
+NodeState ProxyNode::State() {
+  auto& retries = this->origin.RetryBudget();
+  return {
+      .configuration = this->gossip.Version(),
+      .endpoint_list = this->directory.Endpoints().CompleteRevision(),
+      .reading_mode = this->reading_mode,
+      .platform_reached = this->platform_reached.value_or(false),
+      .stopping = this->planned_stop.HasStarted(),
+      .calls_in_flight = this->origin.CallsInFlight(),
+      .service = this->gate.Service(),
+      .instance = this->gate.Entry() ? this->gate.Entry()->id : "",
+      .load = this->gate.Load(this->Now()),
+      .notice = this->gate.Notice(),
+      .accounts = this->origin.Quotas().HighestUse(this->Now(), kShownAccounts),
+      .retries = retries.Uses(this->Now()),
+      .retry_fleet_size = retries.FleetSize(),
+      .connections_opened = this->pool->ConnectionsOpened(),
+      .nodes = this->fleet.All()};
+}
+
+}  // namespace agaterun::proxy
