--- a/libraries/retries/retry_quota.h
+++ b/libraries/retries/retry_quota.h
@@ -26,6 +26,7 @@
 //   once per window, but not in the first window of a process.
 //
 // A new process starts with neither, so a restart can only lower the sum.
+//
 // FIXME: The extra retries are divided evenly, but calls to a deep service come
 // from the nodes of few services, and the fractions of all other nodes are
 // unused.
