--- a/libraries/proxy/proxy_node_views.cc
+++ b/libraries/proxy/proxy_node_views.cc
@@ -3,7 +3,7 @@
 #include "libraries/proxy/proxy_node.h"
 #include "libraries/proxy/retry_metrics.h"
 
-// What ProxyNode shows: readiness, metrics and its state.
+// The part of ProxyNode that answers probes and shows metrics and state.
 namespace agaterun::proxy {
 
 namespace {
--- a/tests/retries/retry_fleet.h
+++ b/tests/retries/retry_fleet.h
@@ -33,8 +33,8 @@
 
   explicit RetryFleet(Options options);
 
-  // Requests per second of the callers of all nodes together, and the fraction
-  // of them, and of their retries, that is to be retried.
+  // Sets the rate of requests of all callers together, and the fraction of
+  // attempts that fail and are retried if the quota allows it.
   void SetTraffic(double per_second, double failing);
   // Kills that many nodes, drawn at random. They start again after `down`.
   void Restart(int nodes, Duration down);
@@ -66,7 +66,7 @@
   std::vector<Node> nodes;
   double per_second = 0;
   double failing = 0;
-  // Per step.
+  // Counts for each time step.
   std::vector<int> requests;
   std::vector<int> retries;
 };
