Review: A request that crashes its endpoints is never quarantined under load

Cause: a crash is noticed at the next refused connection, and only requests that broke within 500 ms before that are blamed. When several requests break at once, the origins avoid the endpoint for longer than that, so the crash is recorded with no suspect.

Stand-in endpoints can crash. Nothing is fixed.

--- a/review/stand_ins/region.py
+++ b/review/stand_ins/region.py
@@ -9,6 +9,7 @@
 import shutil
 import signal
 import socket
+import struct
 import sys
 import tempfile
 import time
@@ -21,6 +22,8 @@
 STORE_ANSWER_SECONDS = 0.004
 START_SECONDS = 20
 RESTART_DELAY_SECONDS = 0.3
+LOG_LINES = int(os.environ.get("LOG_LINES", "12"))  # Kept of each log.
+ENTRY_EXPIRY_SECONDS = 4.5  # Three heartbeat intervals.
 
 # The figures of the small deployments in the settings that the pages show.
 BOUNDS = {"SeedLag": "3s", "ReuseAfter": "2s", "Contact": "3000ms",
@@ -164,19 +167,45 @@
 
     def __init__(self, region, machine):
         self.region, self.machine = region, machine
-        self.id = f"i-{machine.name}"
-        self.born = int(time.time() * 1000)
+        self.starts = 0
+        self.id = ""
+        self.born = 0
         self.runs = []
+        self.connections = set()
+        self.is_crashing = False
         self.work = lambda path: 0.05
         self.answer_bytes = lambda path: 1000
+        self.on_run = lambda path: None
         self.server = None
 
     async def start(self):
+        """Each start is a new incarnation, with a new id."""
+        self.starts += 1
+        self.id = f"i-{self.machine.name}-{self.starts}"
+        self.born = int(time.time() * 1000)
         self.server = await asyncio.start_server(
             self.serve, self.machine.ip, self.region.app_port,
             limit=1 << 20)
         self.register("ready")
 
+    async def crash(self, seconds):
+        """Resets all connections and sends nothing more; starts again later.
+        The entry expires after three heartbeat intervals of silence."""
+        self.region.record.write(f"the endpoint of {self.machine.name} crashes")
+        old_key = f"servers/{self.id}"
+        self.server.close()
+        for writer in list(self.connections):
+            connection = writer.get_extra_info("socket")
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                  struct.pack("ii", 1, 0))
+            writer.transport.abort()
+        asyncio.get_running_loop().call_later(
+            ENTRY_EXPIRY_SECONDS, self.region.store.delete, old_key)
+        await asyncio.sleep(seconds)
+        await self.start()
+        self.is_crashing = False
+        self.region.record.write(f"the endpoint of {self.machine.name} is back")
+
     def register(self, state):
         entry = {"Service": self.machine.service,
                  "Address": f"{self.machine.ip}:{self.region.app_port}",
@@ -189,6 +218,7 @@
         return await reader.readexactly(int(headers.get("content-length", 0)))
 
     async def serve(self, reader, writer):
+        self.connections.add(writer)
         try:
             while head := await read_head(reader):
                 line, headers = head
@@ -213,6 +243,7 @@
                 self.region.record.write(
                     f"run {request_id} at {self.machine.name}: {method} "
                     f"{path}, body of {len(body)} bytes")
+                self.on_run(path)
                 await asyncio.sleep(self.work(path))
                 answer = bytes(self.answer_bytes(path))
                 writer.write(message(
@@ -226,6 +257,7 @@
                 asyncio.CancelledError):
             pass
         finally:
+            self.connections.discard(writer)
             writer.close()
 
 
@@ -373,7 +405,7 @@
             if name.endswith(".log"):
                 lines = (self.folder / name).read_text(
                     errors="replace").splitlines()
-                for line in lines[-12:]:
+                for line in lines[-LOG_LINES:]:
                     self.record.write(f"log {name[:-4]} {line[:160]}")
         shutil.rmtree(self.folder, ignore_errors=True)
 
