--- a/review/stand_ins/region.py
+++ b/review/stand_ins/region.py
@@ -195,9 +195,10 @@
         old_key = f"servers/{self.id}"
         self.server.close()
         for writer in list(self.connections):
-            connection = writer.get_extra_info("socket")
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
-                                  struct.pack("ii", 1, 0))
+            if writer.transport.is_closing():
+                continue
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             writer.transport.abort()
         asyncio.get_running_loop().call_later(
             ENTRY_EXPIRY_SECONDS, self.region.store.delete, old_key)
