Review: Scripts record each request, and end their processes on SIGTERM

Cause: the records of cases 3, 4 and 5 left out requests that were served, and a script that was ended itself left its processes running.

Checks, bounds and loads are as they were.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -70,11 +70,11 @@
     async def one(self, number):
         request_id = f"{self.machine.name}-{self.kind}-{number}"
         sent_at = time.monotonic()
+        sent = self.region.record.now()
         status = await request(self.region, self.machine, self.path_of(number),
                                request_id)
         self.results.append((sent_at, self.kind, status))
-        if status != "200":
-            self.region.record.write(f"{request_id}: {status}")
+        self.region.record.write(f"{request_id}, sent at {sent:.3f}: {status}")
 
 
 async def case(folder, trouble):
--- a/review/stand_ins/region.py
+++ b/review/stand_ins/region.py
@@ -416,6 +416,8 @@
     couldn't run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     folder = pathlib.Path(sys.argv[0]).resolve().parent
+    # All processes are ended also when the script itself is.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     try:
         broken = asyncio.run(asyncio.wait_for(case(folder, trouble), 110))
     except Exception as error:  # The reason goes to the caller.
