Proxy: Shows which requests are suspected of crashing backend servers

An operator could not tell from a node why a request was refused as convicted: the node of callers logged neither the crash reports that it counted nor the moment from which it refused. Event 604 existed for the older data path alone.

Event 604 is logged when a node begins to refuse a request.

--- a/libraries/proxy/node_state.cc
+++ b/libraries/proxy/node_state.cc
@@ -73,6 +73,11 @@
       {"accounts", used},
       {"retries", RetriesToJson(this->retries)},
       {"retry_fleet_size", this->retry_fleet_size},
+      {"crash_suspects",
+       {{"suspected", this->crashes.suspected},
+        {"quarantined", this->crashes.quarantined},
+        {"quarantines", this->crashes.quarantines},
+        {"cleared", this->crashes.cleared}}},
       {"nodes", listed}};
   return state.dump(1) + "\n";
 }
--- a/libraries/proxy/node_state.h
+++ b/libraries/proxy/node_state.h
@@ -13,6 +13,7 @@
 #include "libraries/decision/messages.h"
 #include "libraries/membership/directory_source.h"
 #include "libraries/membership/fleet.h"
+#include "libraries/retries/crash_history.h"
 #include "libraries/retries/retry_quota.h"
 
 namespace agaterun::proxy {
@@ -32,7 +33,8 @@
   // The client accounts that use most of their limits.
   std::vector<accounts::AccountQuotas::AccountUse> accounts;
   std::vector<retries::RetryQuota::Use> retries;
-  std::size_t retry_fleet_size = 0;      // Nodes that share the extra retries.
+  std::size_t retry_fleet_size = 0;  // Nodes that share the extra retries.
+  retries::CrashHistory::Counts crashes;
   std::uint64_t connections_opened = 0;  // Opened to the backend server.
   const std::unordered_map<NodeAddress, membership::FleetNode>& nodes;
 
--- a/libraries/proxy/proxy_node.cc
+++ b/libraries/proxy/proxy_node.cc
@@ -275,11 +275,19 @@
         this->crashes.RecordLocalCrash(this->Now(), this->random.Next());
     Log(LogEvent::kSuspectRecorded,
         {{"requests", std::to_string(suspects.size())}});
+    this->LogQuarantines();
   }
   this->gate.SetReachable(this->Now(), reachable);
   this->BroadcastOwnLoad();
 }
 
+void ProxyNode::LogQuarantines() {
+  for (const auto fingerprint : this->crashes.TakeNewQuarantines()) {
+    Log(LogEvent::kFingerprintQuarantined,
+        {{"fingerprint", std::to_string(fingerprint)}});
+  }
+}
+
 void ProxyNode::OnOtherInstance() {
   Log(LogEvent::kOtherInstance);
   this->pool->CloseIdle();
--- a/libraries/proxy/proxy_node.h
+++ b/libraries/proxy/proxy_node.h
@@ -203,6 +203,8 @@
   HeartbeatDemand MakeHeartbeatDemand(Instant now,
                                       membership::HeartbeatKind kind);
   void UpdateQuotas(Instant now);
+  // Logs the requests that this node has begun to refuse.
+  void LogQuarantines();
   // True if the node is in the fleet and in this failure domain.
   bool IsInOwnDomain(NodeAddress node) const;
 
--- a/libraries/proxy/proxy_node_fleet.cc
+++ b/libraries/proxy/proxy_node_fleet.cc
@@ -24,6 +24,7 @@
   for (const auto& crash : heartbeat.crashes) {
     this->crashes.RecordReportedCrash(this->Now(), crash);
   }
+  this->LogQuarantines();
   this->OnDigestReceived(heartbeat.from, heartbeat.state_digest);
   this->RequestNewerState(heartbeat);
   if (heartbeat.wants_reply) {
--- a/libraries/proxy/proxy_node_views.cc
+++ b/libraries/proxy/proxy_node_views.cc
@@ -1,4 +1,5 @@
 #include "libraries/proxy/account_metrics.h"
+#include "libraries/proxy/crash_metrics.h"
 #include "libraries/proxy/link_metrics.h"
 #include "libraries/proxy/proxy_node.h"
 #include "libraries/proxy/retry_metrics.h"
@@ -27,6 +28,7 @@
   auto& retries = this->origin.RetryBudget();
   return this->call_log.Metrics() +
          RetryMetrics(retries.Uses(this->Now()), retries.FleetSize()) +
+         CrashMetrics(this->crashes.Count(this->Now())) +
          AccountMetrics(
              this->origin.Quotas().HighestUse(this->Now(), kShownAccounts)) +
          LinkMetrics(this->links->Sent(
@@ -51,6 +53,7 @@
       .accounts = this->origin.Quotas().HighestUse(this->Now(), kShownAccounts),
       .retries = retries.Uses(this->Now()),
       .retry_fleet_size = retries.FleetSize(),
+      .crashes = this->crashes.Count(this->Now()),
       .connections_opened = this->pool->ConnectionsOpened(),
       .nodes = this->fleet.All()};
 }
--- a/libraries/retries/crash_history.cc
+++ b/libraries/retries/crash_history.cc
@@ -1,6 +1,7 @@
 #include "libraries/retries/crash_history.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace agaterun::retries {
 
@@ -78,13 +79,17 @@
     suspect.last_crash = now;
     if (suspect.crashes.size() < kCrashesToQuarantine) {
       suspect.crashes.insert(crash_id);
+      if (suspect.crashes.size() == kCrashesToQuarantine) {
+        this->new_quarantines.push_back(fingerprint);
+        this->quarantines += 1;
+      }
     }
   }
 }
 
 void CrashHistory::RecordCompletion(std::uint64_t fingerprint) {
   if (!this->suspects.empty()) {
-    this->suspects.erase(fingerprint);
+    this->cleared += this->suspects.erase(fingerprint);
   }
 }
 
@@ -95,6 +100,22 @@
          now - found->second.last_crash <= kQuarantineDuration;
 }
 
+CrashHistory::Counts CrashHistory::Count(Instant now) const {
+  Counts counts{.quarantines = this->quarantines, .cleared = this->cleared};
+  for (const auto& [fingerprint, suspect] : this->suspects) {
+    if (this->IsQuarantined(now, fingerprint)) {
+      counts.quarantined += 1;
+    } else if (now - suspect.last_crash <= kQuarantineDuration) {
+      counts.suspected += 1;
+    }
+  }
+  return counts;
+}
+
+std::vector<std::uint64_t> CrashHistory::TakeNewQuarantines() {
+  return std::exchange(this->new_quarantines, {});
+}
+
 std::vector<decision::CrashReport> CrashHistory::HeartbeatEntries(Instant now) {
   while (!this->local_crashes.empty() &&
          now - this->local_crashes.front().time > kReportDuration) {
--- a/libraries/retries/crash_history.h
+++ b/libraries/retries/crash_history.h
@@ -45,6 +45,17 @@
   // Number of requests that are suspected or quarantined.
   std::size_t SuspectCount() const { return this->suspects.size(); }
 
+  struct Counts {
+    std::size_t suspected = 0;  // Now, without those in quarantine.
+    std::size_t quarantined = 0;
+    std::uint64_t quarantines = 0;  // Since the start of the process.
+    std::uint64_t cleared = 0;      // Suspects cleared since then.
+  };
+  Counts Count(Instant now) const;
+
+  // Requests that were quarantined since the last call.
+  std::vector<std::uint64_t> TakeNewQuarantines();
+
  private:
   struct BrokenExchange {
     Instant time{};
@@ -66,6 +77,9 @@
   std::deque<BrokenExchange> broken_exchanges;
   std::deque<LocalCrash> local_crashes;
   std::unordered_map<std::uint64_t, Suspect> suspects;
+  std::vector<std::uint64_t> new_quarantines;
+  std::uint64_t quarantines = 0;
+  std::uint64_t cleared = 0;
 };
 
 }  // namespace agaterun::retries
