Retries: A completion clears a suspected request on all nodes

Cause: a request in flight at three crashes counted as their cause. A popular request is in flight at nearly every crash. That it is completed all the time shows that it crashes nothing, but only the node whose own endpoint completed it took note; the nodes of its callers counted three reports and refused it.

Evidence: in the record the refusals begin at m4, m5 and m6 with the report of the third crash, 0.2 s after it, and never at m1 to m3, whose endpoints complete the request. CallOriginTest/PopularRequestIsServedAfterCrashesOfOthers failed before ("check this->output.sent.size() == crash has failed [3 != 4]").

Fix: crashes count since the last completion. The origin takes note of a response without a failure, and a node that clears a suspect tells the others in its heartbeats. Ids of earlier crashes are kept, since reports of them are repeated for two seconds and would count again. A request that crashes endpoints is never completed, so nothing changes for it: RequestThatOnlyCrashesIsRefused passes before and after.

Ways compared: clearing at the origin alone would leave a node that sees the request seldom to refuse it (CompletionAtOtherNodeClearsSuspect); raising the number of crashes makes the opposite case worse and only delays this one.

--- a/libraries/calls/call_origin.cc
+++ b/libraries/calls/call_origin.cc
@@ -39,7 +39,7 @@
 
 CallOrigin::CallOrigin(Options options,
                        const Dialect& dialect,
-                       const retries::CrashHistory& crashes,
+                       retries::CrashHistory& crashes,
                        membership::Fleet& fleet,
                        RandomSource& random,
                        OriginOutput& output)
@@ -158,6 +158,7 @@
       this->fleet.RecordStatedLeaving(node);
     }
     if (answer->status < http_status::kServerErrors) {
+      this->crashes.RecordCompletion(now, call->fingerprint);
       this->response_sizes.RecordSize(call->route->name, answer->body.size());
     }
     if (!call->parent) {
--- a/libraries/calls/call_origin.h
+++ b/libraries/calls/call_origin.h
@@ -79,7 +79,7 @@
   // origin.
   CallOrigin(Options options,
              const Dialect& dialect,
-             const retries::CrashHistory& crashes,
+             retries::CrashHistory& crashes,
              membership::Fleet& fleet,
              RandomSource& random,
              OriginOutput& output);
@@ -244,7 +244,7 @@
 
   Options options;
   const Dialect& dialect;
-  const retries::CrashHistory& crashes;
+  retries::CrashHistory& crashes;
   membership::Fleet& fleet;
   RandomSource& random;
   OriginOutput& output;
--- a/libraries/calls/visit_gate_responses.cc
+++ b/libraries/calls/visit_gate_responses.cc
@@ -113,7 +113,7 @@
   const auto& visit = found->second;
   switch (end) {
     case ExchangeResult::kResponded:
-      this->crashes.RecordCompletion(visit.request.fingerprint);
+      this->crashes.RecordCompletion(now, visit.request.fingerprint);
       this->HandleResponse(now, number, std::move(answer));
       break;
     case ExchangeResult::kNotSent:
--- a/libraries/decision/events.h
+++ b/libraries/decision/events.h
@@ -129,7 +129,8 @@
   std::uint64_t incarnation = 0;
   std::uint64_t state_digest = 0;
   LoadReport load;
-  // Quarantined fingerprints, with the time until each quarantine ends.
+  // Quarantined fingerprints, with the time until each quarantine ends. Zero
+  // for a request that was completed and is no longer suspected.
   std::vector<std::pair<std::uint64_t, Duration>> quarantined;
   // Time since a node last confirmed that the platform has nothing newer than
   // this state.
--- a/libraries/proxy/proxy_node_fleet.cc
+++ b/libraries/proxy/proxy_node_fleet.cc
@@ -24,6 +24,11 @@
   for (const auto& crash : heartbeat.crashes) {
     this->crashes.RecordReportedCrash(this->Now(), crash);
   }
+  for (const auto& [fingerprint, remaining] : heartbeat.quarantined) {
+    if (remaining == Duration{}) {
+      this->crashes.RecordCompletion(this->Now(), fingerprint);
+    }
+  }
   this->LogQuarantines();
   this->OnDigestReceived(heartbeat.from, heartbeat.state_digest);
   this->RequestNewerState(heartbeat);
@@ -151,6 +156,9 @@
                                 .load = this->gate.Load(now),
                                 .crashes = this->crashes.HeartbeatEntries(now),
                                 .wants_reply = target.wants_reply};
+  for (const auto fingerprint : this->crashes.ClearedRequests(now)) {
+    heartbeat.quarantined.emplace_back(fingerprint, Duration{});
+  }
   this->directory.FillHeartbeat(now, heartbeat);
   const auto* receiver = this->fleet.Find(target.node);
   if (receiver != nullptr && receiver->service == this->gate.Service()) {
--- a/libraries/retries/crash_history.cc
+++ b/libraries/retries/crash_history.cc
@@ -7,9 +7,10 @@
 
 namespace {
 
-// A request that was running at this many crashes is assumed to be their cause.
-// Callers retry once or twice, so that a harmless request is running at fewer
-// crashes.
+// A request that was running at this many crashes without a completion is
+// assumed to be their cause. Callers retry once or twice, so that a request
+// that few send is running at fewer crashes, and one that many send is
+// completed meanwhile.
 constexpr std::size_t kCrashesToQuarantine = 3;
 
 // Exchanges that broke within this time before a crash was detected are
@@ -22,9 +23,15 @@
 // A crash is reported in each heartbeat for this long.
 constexpr Duration kReportDuration = 2s;
 
+// The same for a completion. Longer, because the report of a crash may arrive
+// after that of a completion that followed it.
+constexpr Duration kClearedReportDuration = 3s;
+
 constexpr std::size_t kMaxBrokenExchanges = 1024;
 constexpr std::size_t kMaxReportedRequests = 128;
 constexpr std::size_t kMaxSuspects = 8192;
+constexpr std::size_t kMaxCrashesPerSuspect = 32;
+constexpr std::size_t kMaxClearedRequests = 32;
 
 }  // namespace
 
@@ -68,35 +75,51 @@
   if (this->suspects.size() > kMaxSuspects) {
     std::erase_if(this->suspects, [&](const auto& item) {
       return now - item.second.last_crash > kQuarantineDuration ||
-             item.second.crashes.size() < kCrashesToQuarantine;
+             item.second.crashes_since_completion < kCrashesToQuarantine;
     });
   }
   for (const auto fingerprint : fingerprints) {
     auto& suspect = this->suspects[fingerprint];
-    if (now - suspect.last_crash > kQuarantineDuration) {
-      suspect.crashes.clear();
+    // Reports of the earlier crashes have ended.
+    const bool is_cleared = suspect.crashes_since_completion == 0 &&
+                            now - suspect.last_crash > kReportDuration;
+    if (is_cleared || now - suspect.last_crash > kQuarantineDuration) {
+      suspect = {};
     }
     suspect.last_crash = now;
-    if (suspect.crashes.size() < kCrashesToQuarantine) {
-      suspect.crashes.insert(crash_id);
-      if (suspect.crashes.size() == kCrashesToQuarantine) {
-        this->new_quarantines.push_back(fingerprint);
-        this->quarantines += 1;
-      }
+    if (suspect.crashes.size() >= kMaxCrashesPerSuspect ||
+        !suspect.crashes.insert(crash_id).second) {
+      continue;
+    }
+    suspect.crashes_since_completion += 1;
+    if (suspect.crashes_since_completion == kCrashesToQuarantine) {
+      this->new_quarantines.push_back(fingerprint);
+      this->quarantines += 1;
     }
   }
 }
 
-void CrashHistory::RecordCompletion(std::uint64_t fingerprint) {
-  if (!this->suspects.empty()) {
-    this->cleared += this->suspects.erase(fingerprint);
+void CrashHistory::RecordCompletion(Instant now, std::uint64_t fingerprint) {
+  if (this->suspects.empty()) {
+    return;
+  }
+  const auto found = this->suspects.find(fingerprint);
+  if (found == this->suspects.end() ||
+      found->second.crashes_since_completion == 0) {
+    return;
+  }
+  found->second.crashes_since_completion = 0;
+  this->cleared += 1;
+  this->cleared_requests.push_back({.time = now, .fingerprint = fingerprint});
+  if (this->cleared_requests.size() > kMaxClearedRequests) {
+    this->cleared_requests.pop_front();
   }
 }
 
 bool CrashHistory::IsQuarantined(Instant now, std::uint64_t fingerprint) const {
   const auto found = this->suspects.find(fingerprint);
   return found != this->suspects.end() &&
-         found->second.crashes.size() >= kCrashesToQuarantine &&
+         found->second.crashes_since_completion >= kCrashesToQuarantine &&
          now - found->second.last_crash <= kQuarantineDuration;
 }
 
@@ -105,7 +128,8 @@
   for (const auto& [fingerprint, suspect] : this->suspects) {
     if (this->IsQuarantined(now, fingerprint)) {
       counts.quarantined += 1;
-    } else if (now - suspect.last_crash <= kQuarantineDuration) {
+    } else if (suspect.crashes_since_completion > 0 &&
+               now - suspect.last_crash <= kQuarantineDuration) {
       counts.suspected += 1;
     }
   }
@@ -128,4 +152,16 @@
   return crashes;
 }
 
+std::vector<std::uint64_t> CrashHistory::ClearedRequests(Instant now) {
+  while (!this->cleared_requests.empty() &&
+         now - this->cleared_requests.front().time > kClearedReportDuration) {
+    this->cleared_requests.pop_front();
+  }
+  std::vector<std::uint64_t> fingerprints;
+  for (const auto& request : this->cleared_requests) {
+    fingerprints.push_back(request.fingerprint);
+  }
+  return fingerprints;
+}
+
 }  // namespace agaterun::retries
--- a/libraries/retries/crash_history.h
+++ b/libraries/retries/crash_history.h
@@ -14,8 +14,9 @@
 
 // History of backend server crashes and of the requests that were running at
 // the time. A request that was running at several crashes, of the same or of
-// different servers, is assumed to cause them and is quarantined: all nodes
-// refuse it for some time. Nodes report crashes to each other.
+// different servers, and that no backend server has completed meanwhile, is
+// assumed to cause them and is quarantined: all nodes refuse it for some time.
+// Nodes report crashes and completions of suspects to each other.
 class CrashHistory {
  public:
   // Records that a backend server closed the connection during an exchange with
@@ -32,9 +33,9 @@
   // Records a crash that another node has reported.
   void RecordReportedCrash(Instant now, const decision::CrashReport& crash);
 
-  // Records that this node has completed the request, which clears it of
-  // suspicion.
-  void RecordCompletion(std::uint64_t fingerprint);
+  // Records that a backend server has completed the request without a failure,
+  // as this node or another one has observed. That clears it of suspicion.
+  void RecordCompletion(Instant now, std::uint64_t fingerprint);
 
   // True while the request is quarantined.
   bool IsQuarantined(Instant now, std::uint64_t fingerprint) const;
@@ -42,7 +43,11 @@
   // Recent crashes of the local backend server, to be reported in heartbeats.
   std::vector<decision::CrashReport> HeartbeatEntries(Instant now);
 
-  // Number of requests that are suspected or quarantined.
+  // Requests that were recently cleared of suspicion here, to be reported in
+  // heartbeats.
+  std::vector<std::uint64_t> ClearedRequests(Instant now);
+
+  // Number of requests that were running at a recent crash.
   std::size_t SuspectCount() const { return this->suspects.size(); }
 
   struct Counts {
@@ -62,9 +67,16 @@
     std::uint64_t fingerprint = 0;
   };
   struct Suspect {
-    std::set<std::uint64_t> crashes;  // By id.
+    // Ids of the crashes, also of those before the last completion, since
+    // reports of these may still arrive.
+    std::set<std::uint64_t> crashes;
+    std::size_t crashes_since_completion = 0;
     Instant last_crash{};
   };
+  struct ClearedRequest {
+    Instant time{};
+    std::uint64_t fingerprint = 0;
+  };
   struct LocalCrash {
     Instant time{};
     decision::CrashReport report;
@@ -76,6 +88,7 @@
 
   std::deque<BrokenExchange> broken_exchanges;
   std::deque<LocalCrash> local_crashes;
+  std::deque<ClearedRequest> cleared_requests;
   std::unordered_map<std::uint64_t, Suspect> suspects;
   std::vector<std::uint64_t> new_quarantines;
   std::uint64_t quarantines = 0;
--- a/tests/calls/call_origin_test.cc
+++ b/tests/calls/call_origin_test.cc
@@ -182,6 +182,48 @@
   BOOST_TEST(this->origin.CallsInFlight() == 0U);
 }
 
+// Failure: a popular request that was in flight at three crashes was refused by
+// the nodes of other services, though it was completed for them all the time.
+BOOST_FIXTURE_TEST_CASE(PopularRequestIsServedAfterCrashesOfOthers, Fixture) {
+  constexpr int kCrashes = 6;
+  for (std::uint64_t crash = 1; crash <= kCrashes; ++crash) {
+    this->SendRequest(crash, "/read/today");
+    BOOST_TEST_REQUIRE(this->output.sent.size() == crash);
+    this->crashes.RecordReportedCrash(
+        this->now,
+        {.id = crash,
+         .fingerprints = {this->output.sent.back().visit.fingerprint}});
+    this->DeliverReply(Outcome::kCompleted, Reason::kNone);
+    this->now += 5s;
+    this->RecordMessagesOfAll();
+  }
+  this->SendRequest(100, "/read/today");
+  BOOST_TEST(this->ResponseStatus(100) == 0);
+  this->DeliverReply(Outcome::kCompleted, Reason::kNone);
+  BOOST_TEST(this->ResponseStatus(100) == 200);
+}
+
+// The opposite: a request that has never been completed is refused after three
+// crashes, whatever else is completed meanwhile. A failure that a backend
+// server reports is no completion.
+BOOST_FIXTURE_TEST_CASE(RequestThatOnlyCrashesIsRefused, Fixture) {
+  this->SendRequest(50, "/read/crashing");
+  const auto fingerprint = this->output.sent.back().visit.fingerprint;
+  this->DeliverReply(Outcome::kCompleted, Reason::kNone, true, 500);
+  for (std::uint64_t crash = 1; crash <= 3; ++crash) {
+    this->crashes.RecordReportedCrash(
+        this->now, {.id = crash, .fingerprints = {fingerprint}});
+    this->SendRequest(crash, "/read/today");
+    this->DeliverReply(Outcome::kCompleted, Reason::kNone);
+    this->SendRequest(10 + crash, "/read/other");
+    this->DeliverReply(Outcome::kCompleted, Reason::kNone, true, 500);
+    this->now += 5s;
+    this->RecordMessagesOfAll();
+  }
+  this->SendRequest(100, "/read/crashing");
+  BOOST_TEST(this->ResponseStatus(100) == 503);
+}
+
 BOOST_FIXTURE_TEST_CASE(ReplacesReservedRequestHeaders, Fixture) {
   this->SendRequest(1, "/read/1");
   const auto& headers = this->output.sent.back().request->headers;
--- a/tests/retries/crash_history_test.cc
+++ b/tests/retries/crash_history_test.cc
@@ -50,11 +50,61 @@
   CrashHistory history;
   RecordCrash(history, 100s, 1);
   RecordCrash(history, 101s, 2);
-  history.RecordCompletion(kPoison);
+  history.RecordCompletion(102s, kPoison);
   RecordCrash(history, 102s, 3);
   BOOST_TEST(!history.IsQuarantined(103s, kPoison));
 }
 
+// Failure: a node that doesn't complete the request itself refused it, though
+// other nodes completed it between the crashes.
+BOOST_AUTO_TEST_CASE(CompletionAtOtherNodeClearsSuspect) {
+  CrashHistory gate;
+  CrashHistory origin;
+  for (std::uint64_t id = 1; id <= 6; ++id) {
+    const Instant crash = 100s + std::chrono::seconds(5 * id);
+    RecordCrash(gate, crash, id);
+    gate.RecordCompletion(crash + 200ms, kPoison);
+    // Each heartbeat repeats the crash and the completion.
+    for (const auto beat : {300ms, 600ms, 900ms}) {
+      const auto now = crash + beat;
+      for (const auto fingerprint : gate.ClearedRequests(now)) {
+        origin.RecordCompletion(now, fingerprint);
+      }
+      for (const auto& report : gate.HeartbeatEntries(now)) {
+        origin.RecordReportedCrash(now, report);
+      }
+    }
+    BOOST_TEST(!origin.IsQuarantined(crash + 1s, kPoison));
+  }
+  BOOST_TEST(origin.Count(140s).suspected == gate.Count(140s).suspected);
+}
+
+// Failure: heartbeats repeat the report of a crash, and the repetition counted
+// again after the request had been completed.
+BOOST_AUTO_TEST_CASE(RepeatedReportDoesNotCountAgainAfterCompletion) {
+  CrashHistory history;
+  for (std::uint64_t id = 1; id <= 3; ++id) {
+    history.RecordReportedCrash(100s, {.id = id, .fingerprints = {kPoison}});
+  }
+  BOOST_TEST(history.IsQuarantined(100s, kPoison));
+  history.RecordCompletion(101s, kPoison);
+  for (std::uint64_t id = 1; id <= 3; ++id) {
+    history.RecordReportedCrash(102s, {.id = id, .fingerprints = {kPoison}});
+  }
+  BOOST_TEST(!history.IsQuarantined(102s, kPoison));
+}
+
+BOOST_AUTO_TEST_CASE(ClearedRequestsAreReportedForSomeSeconds) {
+  CrashHistory history;
+  history.RecordCompletion(99s, kPoison);
+  BOOST_TEST(history.ClearedRequests(99s).empty());
+  RecordCrash(history, 100s, 1);
+  history.RecordCompletion(101s, kPoison);
+  history.RecordCompletion(101s, kPoison);
+  BOOST_TEST(history.ClearedRequests(103s).size() == 1U);
+  BOOST_TEST(history.ClearedRequests(105s).empty());
+}
+
 BOOST_AUTO_TEST_CASE(BrokenExchangesWithoutCrashCauseNoSuspicion) {
   CrashHistory history;
   for (int second = 100; second < 110; ++second) {
