Retries: A quarantined request is tried once at one node

What callers would see: three endpoints of a service crash at the same moment, as when a rack loses power, and a harmless request that all of them ran is refused by all nodes for two minutes.

Cause: three crashes quarantine the request before any copy of it can be completed, and no copy runs after that, so that nothing can clear it.

Fix: from 2 s after the latest crash on, one of the nodes whose endpoints crashed runs one copy at a time, each node for 5 s in turn, since an endpoint may be lost for good. Callers' nodes send the request there and nowhere else. A completion clears it everywhere; a crash in that time ends the trials until the quarantine expires.

Tests, each with its opposite: VisitGateTest/QuarantinedRequestRunsAloneOnTrial failed without the trial ("started.size() == 1U"), so did CrashHistoryTest/QuarantinedRequestIsTriedAndCleared; RequestThatCrashesItsTrialIsRefused and RequestThatCrashesItsTrialIsNotTriedAgain bound what a crashing request gets.

Ways compared: counting crashes of several endpoints within one second as one. A scratch form passed its unit tests, but a request that is retried at once crashes its endpoints within that time too and would be refused a resend later.

--- a/libraries/calls/call_origin.cc
+++ b/libraries/calls/call_origin.cc
@@ -90,9 +90,17 @@
 std::optional<NodeAddress> CallOrigin::ChooseNode(Instant now,
                                                   const Call& call,
                                                   bool needs_free_slot) {
+  auto excluded = call.tried;
+  if (call.trial_node) {
+    for (const auto* node : this->fleet.NodesOf(call.service)) {
+      if (node->node != *call.trial_node) {
+        excluded.push_back(node->node);
+      }
+    }
+  }
   return this->chooser.Choose(
       now, {.service = call.service,
-            .excluded = call.tried,
+            .excluded = excluded,
             .needs_free_slot = needs_free_slot,
             .response_bytes = this->response_sizes.Of(call.route->name),
             .target_latency = call.route->target_latency});
--- a/libraries/calls/call_origin.h
+++ b/libraries/calls/call_origin.h
@@ -148,6 +148,8 @@
     decision::CallId id = 0;
     SharedRequest request;
     std::uint64_t fingerprint = 0;
+    // The only node that may run it, if it is quarantined.
+    std::optional<NodeAddress> trial_node;
     std::shared_ptr<const routing::RouteTable> table;  // Keeps `route` alive.
     const routing::Route* route = nullptr;
     std::string service;
--- a/libraries/calls/call_origin_entry.cc
+++ b/libraries/calls/call_origin_entry.cc
@@ -88,7 +88,8 @@
         {.status = http_status::kBadRequest, .reason = Reason::kMalformed});
     return false;
   }
-  if (this->crashes.IsQuarantined(now, fingerprint)) {
+  if (this->crashes.IsQuarantined(now, fingerprint) &&
+      !this->crashes.TrialNode(now, fingerprint)) {
     this->RejectAsUnavailable(id, request, Reason::kQuarantined);
     return false;
   }
@@ -196,6 +197,7 @@
       .id = id,
       .request = std::make_shared<const HttpRequest>(std::move(request)),
       .fingerprint = fingerprint,
+      .trial_node = this->crashes.TrialNode(now, fingerprint),
       .table = this->routes,
       .route = route,
       .service = *service,
--- a/libraries/calls/visit_gate.cc
+++ b/libraries/calls/visit_gate.cc
@@ -160,7 +160,7 @@
   if (request.service != this->options.service) {
     reason = Reason::kNoSuchService;
   }
-  if (this->crashes.IsQuarantined(now, request.fingerprint)) {
+  if (this->IsRefusedAsQuarantined(now, this->visits.at(number))) {
     reason = Reason::kQuarantined;
   }
   if (reason != Reason::kNone) {
@@ -182,6 +182,20 @@
                     .work = this->times.Own(this->visits.at(number).route)});
 }
 
+bool VisitGate::IsRefusedAsQuarantined(Instant now, const Visit& visit) const {
+  const auto fingerprint = visit.request.fingerprint;
+  if (!this->crashes.IsQuarantined(now, fingerprint)) {
+    return false;
+  }
+  const bool is_on_trial_here =
+      this->crashes.TrialNode(now, fingerprint) == this->crashes.Self();
+  const auto copies = std::count_if(
+      this->visits.begin(), this->visits.end(), [&](const auto& item) {
+        return item.second.request.fingerprint == fingerprint;
+      });
+  return !is_on_trial_here || copies > 1;
+}
+
 void VisitGate::ReplyToCapacityQuery(Instant now,
                                      NodeAddress from,
                                      const VisitRequest& request) {
--- a/libraries/calls/visit_gate.h
+++ b/libraries/calls/visit_gate.h
@@ -155,6 +155,8 @@
   decision::Reason ClosedReason() const;
   // Expected wait of a visit of this priority until it may start.
   Duration ExpectedWait(Instant now, int priority) const;
+  // True if the request is refused because it crashes backend servers.
+  bool IsRefusedAsQuarantined(Instant now, const Visit& visit) const;
   // Replies to a capacity query whether the gate accepts work. Nothing runs.
   void ReplyToCapacityQuery(Instant now,
                             NodeAddress from,
--- a/libraries/proxy/proxy_node_fleet.cc
+++ b/libraries/proxy/proxy_node_fleet.cc
@@ -22,7 +22,7 @@
   this->fleet.RecordLoad(this->Now(), heartbeat.from, heartbeat.load);
   this->RecordDemand(heartbeat);
   for (const auto& crash : heartbeat.crashes) {
-    this->crashes.RecordReportedCrash(this->Now(), crash);
+    this->crashes.RecordReportedCrash(this->Now(), heartbeat.from, crash);
   }
   for (const auto& [fingerprint, remaining] : heartbeat.quarantined) {
     if (remaining == Duration{}) {
--- a/libraries/retries/crash_history.cc
+++ b/libraries/retries/crash_history.cc
@@ -1,6 +1,7 @@
 #include "libraries/retries/crash_history.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace agaterun::retries {
@@ -23,14 +24,23 @@
 // A crash is reported in each heartbeat for this long.
 constexpr Duration kReportDuration = 2s;
 
-// The same for a completion. Longer, because the report of a crash may arrive
-// after that of a completion that followed it.
-constexpr Duration kClearedReportDuration = 3s;
+// Reports of a crash arrive within this time after it. A completion is reported
+// for as long, because the report of a crash may arrive after that of a
+// completion that followed it.
+constexpr Duration kMaxReportAge = 3s;
+
+// A quarantined request may be tried this long after the latest crash, when all
+// nodes have received its reports.
+constexpr Duration kTrialDelay = 2s;
+
+// Each of the nodes in question may try it for this long.
+constexpr Duration kTrialTurn = 5s;
 
 constexpr std::size_t kMaxBrokenExchanges = 1024;
 constexpr std::size_t kMaxReportedRequests = 128;
 constexpr std::size_t kMaxSuspects = 8192;
 constexpr std::size_t kMaxCrashesPerSuspect = 32;
+constexpr std::size_t kMaxReportersPerSuspect = 4;
 constexpr std::size_t kMaxClearedRequests = 32;
 
 }  // namespace
@@ -58,18 +68,38 @@
   if (crash.fingerprints.empty()) {
     return {};
   }
-  this->RecordSuspects(now, crash.id, crash.fingerprints);
+  this->RecordSuspects(now, this->self, crash.id, crash.fingerprints);
   this->local_crashes.push_back({.time = now, .report = crash});
   return crash.fingerprints;
 }
 
 void CrashHistory::RecordReportedCrash(Instant now,
+                                       NodeAddress reporter,
                                        const decision::CrashReport& crash) {
-  this->RecordSuspects(now, crash.id, crash.fingerprints);
+  this->RecordSuspects(now, reporter, crash.id, crash.fingerprints);
+}
+
+void CrashHistory::RecordCrash(Instant now,
+                               NodeAddress reporter,
+                               std::uint64_t fingerprint,
+                               Suspect& suspect) {
+  // A quarantined request runs on trial alone.
+  suspect.trial_failed |= this->IsQuarantined(now, fingerprint) &&
+                          now - suspect.last_crash > kTrialDelay;
+  suspect.last_crash = now;
+  if (suspect.reporters.size() < kMaxReportersPerSuspect) {
+    suspect.reporters.insert(reporter);
+  }
+  suspect.crashes_since_completion += 1;
+  if (suspect.crashes_since_completion == kCrashesToQuarantine) {
+    this->new_quarantines.push_back(fingerprint);
+    this->quarantines += 1;
+  }
 }
 
 void CrashHistory::RecordSuspects(
     Instant now,
+    NodeAddress reporter,
     std::uint64_t crash_id,
     const std::vector<std::uint64_t>& fingerprints) {
   if (this->suspects.size() > kMaxSuspects) {
@@ -80,21 +110,16 @@
   }
   for (const auto fingerprint : fingerprints) {
     auto& suspect = this->suspects[fingerprint];
-    // Reports of the earlier crashes have ended.
-    const bool is_cleared = suspect.crashes_since_completion == 0 &&
-                            now - suspect.last_crash > kReportDuration;
-    if (is_cleared || now - suspect.last_crash > kQuarantineDuration) {
+    if (now - suspect.last_crash > kQuarantineDuration) {
       suspect = {};
     }
-    suspect.last_crash = now;
-    if (suspect.crashes.size() >= kMaxCrashesPerSuspect ||
-        !suspect.crashes.insert(crash_id).second) {
-      continue;
+    if (now - suspect.last_report > kMaxReportAge) {
+      suspect.crashes.clear();
     }
-    suspect.crashes_since_completion += 1;
-    if (suspect.crashes_since_completion == kCrashesToQuarantine) {
-      this->new_quarantines.push_back(fingerprint);
-      this->quarantines += 1;
+    suspect.last_report = now;
+    if (suspect.crashes.size() < kMaxCrashesPerSuspect &&
+        suspect.crashes.insert(crash_id).second) {
+      this->RecordCrash(now, reporter, fingerprint, suspect);
     }
   }
 }
@@ -109,6 +134,8 @@
     return;
   }
   found->second.crashes_since_completion = 0;
+  found->second.reporters.clear();
+  found->second.trial_failed = false;
   this->cleared += 1;
   this->cleared_requests.push_back({.time = now, .fingerprint = fingerprint});
   if (this->cleared_requests.size() > kMaxClearedRequests) {
@@ -123,6 +150,24 @@
          now - found->second.last_crash <= kQuarantineDuration;
 }
 
+std::optional<NodeAddress> CrashHistory::TrialNode(
+    Instant now,
+    std::uint64_t fingerprint) const {
+  if (!this->IsQuarantined(now, fingerprint)) {
+    return std::nullopt;
+  }
+  const auto& suspect = this->suspects.at(fingerprint);
+  const auto since_crash = now - suspect.last_crash;
+  if (suspect.trial_failed || since_crash <= kTrialDelay) {
+    return std::nullopt;
+  }
+  const auto turn = (since_crash - kTrialDelay) / kTrialTurn;
+  auto node = suspect.reporters.begin();
+  std::advance(node,
+               turn % static_cast<std::int64_t>(suspect.reporters.size()));
+  return *node;
+}
+
 CrashHistory::Counts CrashHistory::Count(Instant now) const {
   Counts counts{.quarantines = this->quarantines, .cleared = this->cleared};
   for (const auto& [fingerprint, suspect] : this->suspects) {
@@ -154,7 +199,7 @@
 
 std::vector<std::uint64_t> CrashHistory::ClearedRequests(Instant now) {
   while (!this->cleared_requests.empty() &&
-         now - this->cleared_requests.front().time > kClearedReportDuration) {
+         now - this->cleared_requests.front().time > kMaxReportAge) {
     this->cleared_requests.pop_front();
   }
   std::vector<std::uint64_t> fingerprints;
--- a/libraries/retries/crash_history.h
+++ b/libraries/retries/crash_history.h
@@ -3,10 +3,12 @@
 
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <vector>
 
+#include "libraries/base/node_address.h"
 #include "libraries/base/time.h"
 #include "libraries/decision/events.h"
 
@@ -16,9 +18,15 @@
 // the time. A request that was running at several crashes, of the same or of
 // different servers, and that no backend server has completed meanwhile, is
 // assumed to cause them and is quarantined: all nodes refuse it for some time.
-// Nodes report crashes and completions of suspects to each other.
+// It is tried once in that time, since servers also crash together for another
+// reason. Nodes report crashes and completions of suspects to each other.
 class CrashHistory {
  public:
+  // `self` is the address of this node.
+  explicit CrashHistory(NodeAddress self = {}) : self(self) {}
+
+  NodeAddress Self() const { return this->self; }
+
   // Records that a backend server closed the connection during an exchange with
   // this request. A single broken exchange proves nothing; many at the same
   // time, or one shortly before a crash, do.
@@ -30,8 +38,11 @@
   std::vector<std::uint64_t> RecordLocalCrash(Instant now,
                                               std::uint64_t crash_id);
 
-  // Records a crash that another node has reported.
-  void RecordReportedCrash(Instant now, const decision::CrashReport& crash);
+  // Records a crash of the backend server on the host of `reporter`, which has
+  // reported it.
+  void RecordReportedCrash(Instant now,
+                           NodeAddress reporter,
+                           const decision::CrashReport& crash);
 
   // Records that a backend server has completed the request without a failure,
   // as this node or another one has observed. That clears it of suspicion.
@@ -40,6 +51,14 @@
   // True while the request is quarantined.
   bool IsQuarantined(Instant now, std::uint64_t fingerprint) const;
 
+  // The node that may run the quarantined request now, one copy at a time. A
+  // completion ends the quarantine; after another crash no node runs it until
+  // the quarantine expires. The nodes whose servers crashed take turns, since
+  // some of these servers may not come back. Returns nullopt if no node may run
+  // it now, and for requests that aren't quarantined.
+  std::optional<NodeAddress> TrialNode(Instant now,
+                                       std::uint64_t fingerprint) const;
+
   // Recent crashes of the local backend server, to be reported in heartbeats.
   std::vector<decision::CrashReport> HeartbeatEntries(Instant now);
 
@@ -71,7 +90,10 @@
     // reports of these may still arrive.
     std::set<std::uint64_t> crashes;
     std::size_t crashes_since_completion = 0;
+    std::set<NodeAddress> reporters;  // Nodes of the servers that crashed.
+    bool trial_failed = false;
     Instant last_crash{};
+    Instant last_report{};
   };
   struct ClearedRequest {
     Instant time{};
@@ -82,10 +104,16 @@
     decision::CrashReport report;
   };
 
+  void RecordCrash(Instant now,
+                   NodeAddress reporter,
+                   std::uint64_t fingerprint,
+                   Suspect& suspect);
   void RecordSuspects(Instant now,
+                      NodeAddress reporter,
                       std::uint64_t crash_id,
                       const std::vector<std::uint64_t>& fingerprints);
 
+  NodeAddress self;
   std::deque<BrokenExchange> broken_exchanges;
   std::deque<LocalCrash> local_crashes;
   std::deque<ClearedRequest> cleared_requests;
--- a/tests/calls/call_origin_test.cc
+++ b/tests/calls/call_origin_test.cc
@@ -190,7 +190,7 @@
     this->SendRequest(crash, "/read/today");
     BOOST_TEST_REQUIRE(this->output.sent.size() == crash);
     this->crashes.RecordReportedCrash(
-        this->now,
+        this->now, {.ip = 1, .port = kPort},
         {.id = crash,
          .fingerprints = {this->output.sent.back().visit.fingerprint}});
     this->DeliverReply(Outcome::kCompleted, Reason::kNone);
@@ -210,18 +210,51 @@
   this->SendRequest(50, "/read/crashing");
   const auto fingerprint = this->output.sent.back().visit.fingerprint;
   this->DeliverReply(Outcome::kCompleted, Reason::kNone, true, 500);
-  for (std::uint64_t crash = 1; crash <= 3; ++crash) {
+  // The fourth crash is that of its trial.
+  for (std::uint64_t crash = 1; crash <= 4; ++crash) {
+    this->now += 5s;
+    this->RecordMessagesOfAll();
     this->crashes.RecordReportedCrash(
-        this->now, {.id = crash, .fingerprints = {fingerprint}});
+        this->now, {.ip = 1, .port = kPort},
+        {.id = crash, .fingerprints = {fingerprint}});
     this->SendRequest(crash, "/read/today");
     this->DeliverReply(Outcome::kCompleted, Reason::kNone);
     this->SendRequest(10 + crash, "/read/other");
     this->DeliverReply(Outcome::kCompleted, Reason::kNone, true, 500);
-    this->now += 5s;
-    this->RecordMessagesOfAll();
+    if (crash >= 3) {
+      this->SendRequest(100 + crash, "/read/crashing");
+      BOOST_TEST(this->ResponseStatus(100 + crash) == 503);
+    }
+  }
+  this->now += 60s;
+  this->RecordMessagesOfAll();
+  this->SendRequest(200, "/read/crashing");
+  BOOST_TEST(this->ResponseStatus(200) == 503);
+}
+
+// A quarantined request that is tried goes to the node that may try it, and to
+// no other when that one can't run it.
+BOOST_FIXTURE_TEST_CASE(QuarantinedRequestGoesToTrialNodeAlone, Fixture) {
+  this->SendRequest(1, "/read/today");
+  const auto fingerprint = this->output.sent.back().visit.fingerprint;
+  for (std::uint32_t ip = 2; ip <= 4; ++ip) {
+    this->crashes.RecordReportedCrash(
+        this->now, {.ip = ip, .port = kPort},
+        {.id = ip, .fingerprints = {fingerprint}});
   }
-  this->SendRequest(100, "/read/crashing");
-  BOOST_TEST(this->ResponseStatus(100) == 503);
+  this->now += 3s;
+  this->RecordMessagesOfAll();
+  const auto sent = this->output.sent.size();
+  for (decision::CallId call = 2; call <= 5; ++call) {
+    this->SendRequest(call, "/read/today");
+    BOOST_TEST_REQUIRE(this->output.sent.size() == sent + call - 1);
+    BOOST_TEST(this->output.sent.back().to.ip == 2U);
+    this->DeliverReply(Outcome::kNotRun, Reason::kBackendDown);
+    BOOST_TEST(this->ResponseStatus(call) == 503);
+  }
+  this->SendRequest(6, "/read/today");
+  this->DeliverReply(Outcome::kCompleted, Reason::kNone);
+  BOOST_TEST(!this->crashes.IsQuarantined(this->now, fingerprint));
 }
 
 BOOST_FIXTURE_TEST_CASE(ReplacesReservedRequestHeaders, Fixture) {
--- a/tests/calls/visit_gate_test.cc
+++ b/tests/calls/visit_gate_test.cc
@@ -270,6 +270,40 @@
   BOOST_TEST((this->output.replies.at(9).outcome == Outcome::kNotRun));
 }
 
+// Failure: a harmless request that was in flight at three crashes at the same
+// moment was never run again, so that nothing could clear it.
+BOOST_FIXTURE_TEST_CASE(QuarantinedRequestRunsAloneOnTrial, Fixture) {
+  for (std::uint64_t crash = 1; crash <= 3; ++crash) {
+    this->SubmitVisit(crash);
+    this->EndOldestExchange(ExchangeResult::kBroken);
+    this->crashes.RecordLocalCrash(this->now, crash);
+  }
+  this->now += 3s;
+  this->SubmitVisit(10);
+  BOOST_TEST(this->output.started.size() == 1U);
+  this->SubmitVisit(11);
+  BOOST_TEST((this->ReplyReason(11) == Reason::kQuarantined));
+  this->EndOldestExchange(ExchangeResult::kResponded,
+                          MakeResponse(200, {"Stamp"}));
+  BOOST_TEST((this->output.replies.at(10).outcome == Outcome::kCompleted));
+  this->SubmitVisit(12);
+  BOOST_TEST(this->output.started.size() == 1U);
+}
+
+// The opposite: the trial of a request that crashes backend servers is its
+// last.
+BOOST_FIXTURE_TEST_CASE(RequestThatCrashesItsTrialIsRefused, Fixture) {
+  for (std::uint64_t crash = 1; crash <= 4; ++crash) {
+    this->SubmitVisit(crash);
+    BOOST_TEST_REQUIRE(this->output.started.size() == 1U);
+    this->EndOldestExchange(ExchangeResult::kBroken);
+    this->crashes.RecordLocalCrash(this->now, crash);
+    this->now += 3s;
+  }
+  this->SubmitVisit(10);
+  BOOST_TEST((this->ReplyReason(10) == Reason::kQuarantined));
+}
+
 BOOST_FIXTURE_TEST_CASE(LeavingBackendServerGetsNoNewVisits, Fixture) {
   this->SubmitVisit(1);
   this->SubmitVisit(2);
--- a/tests/retries/crash_history_test.cc
+++ b/tests/retries/crash_history_test.cc
@@ -7,6 +7,7 @@
 BOOST_AUTO_TEST_SUITE(CrashHistoryTest)
 
 constexpr std::uint64_t kPoison = 66;
+constexpr NodeAddress kReporter{.ip = 1, .port = 7300};
 
 // Records a crash of the local backend server while the poison request and a
 // few others are running.
@@ -38,7 +39,7 @@
   // Heartbeats report the same crash several times.
   for (int beat = 0; beat < 5; ++beat) {
     for (const auto& crash : remote.HeartbeatEntries(101500ms)) {
-      local.RecordReportedCrash(102s, crash);
+      local.RecordReportedCrash(102s, kReporter, crash);
     }
   }
   BOOST_TEST(!local.IsQuarantined(102s, kPoison));
@@ -71,7 +72,7 @@
         origin.RecordCompletion(now, fingerprint);
       }
       for (const auto& report : gate.HeartbeatEntries(now)) {
-        origin.RecordReportedCrash(now, report);
+        origin.RecordReportedCrash(now, kReporter, report);
       }
     }
     BOOST_TEST(!origin.IsQuarantined(crash + 1s, kPoison));
@@ -84,16 +85,55 @@
 BOOST_AUTO_TEST_CASE(RepeatedReportDoesNotCountAgainAfterCompletion) {
   CrashHistory history;
   for (std::uint64_t id = 1; id <= 3; ++id) {
-    history.RecordReportedCrash(100s, {.id = id, .fingerprints = {kPoison}});
+    history.RecordReportedCrash(100s, kReporter,
+                                {.id = id, .fingerprints = {kPoison}});
   }
   BOOST_TEST(history.IsQuarantined(100s, kPoison));
   history.RecordCompletion(101s, kPoison);
   for (std::uint64_t id = 1; id <= 3; ++id) {
-    history.RecordReportedCrash(102s, {.id = id, .fingerprints = {kPoison}});
+    history.RecordReportedCrash(102s, kReporter,
+                                {.id = id, .fingerprints = {kPoison}});
   }
   BOOST_TEST(!history.IsQuarantined(102s, kPoison));
 }
 
+// Failure: a popular request was refused by all nodes for two minutes after
+// three endpoints had crashed at the same moment for another reason (a rack
+// that lost power), since no completion could clear it any more.
+BOOST_AUTO_TEST_CASE(QuarantinedRequestIsTriedAndCleared) {
+  CrashHistory history;
+  for (std::uint32_t ip = 1; ip <= 3; ++ip) {
+    history.RecordReportedCrash(100s, {.ip = ip, .port = 7300},
+                                {.id = ip, .fingerprints = {kPoison}});
+  }
+  BOOST_TEST(history.IsQuarantined(101s, kPoison));
+  BOOST_TEST(!history.TrialNode(101s, kPoison).has_value());
+  BOOST_TEST(history.TrialNode(103s, kPoison)->ip == 1U);
+  // The endpoint of the first node may be lost for good.
+  BOOST_TEST(history.TrialNode(108s, kPoison)->ip == 2U);
+  history.RecordCompletion(108s, kPoison);
+  BOOST_TEST(!history.IsQuarantined(108s, kPoison));
+  BOOST_TEST(!history.TrialNode(108s, kPoison).has_value());
+}
+
+// The opposite: a request that crashes the endpoint that tries it is refused
+// without exception for the rest of the quarantine.
+BOOST_AUTO_TEST_CASE(RequestThatCrashesItsTrialIsNotTriedAgain) {
+  CrashHistory history;
+  for (std::uint64_t id = 1; id <= 3; ++id) {
+    history.RecordReportedCrash(95s + id * 1s, kReporter,
+                                {.id = id, .fingerprints = {kPoison}});
+  }
+  BOOST_TEST(history.TrialNode(101s, kPoison).has_value());
+  history.RecordReportedCrash(102s, kReporter,
+                              {.id = 4, .fingerprints = {kPoison}});
+  for (int second = 102; second < 222; ++second) {
+    const Instant now = std::chrono::seconds(second);
+    BOOST_TEST(history.IsQuarantined(now, kPoison));
+    BOOST_TEST(!history.TrialNode(now, kPoison).has_value());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ClearedRequestsAreReportedForSomeSeconds) {
   CrashHistory history;
   history.RecordCompletion(99s, kPoison);
@@ -131,7 +171,8 @@
   BOOST_TEST(history.HeartbeatEntries(101s).size() == 1U);
   BOOST_TEST(history.HeartbeatEntries(103s).empty());
   for (std::uint64_t id = 0; id < 20'000; ++id) {
-    history.RecordReportedCrash(104s, {.id = id, .fingerprints = {id}});
+    history.RecordReportedCrash(104s, kReporter,
+                                {.id = id, .fingerprints = {id}});
   }
   BOOST_TEST(history.SuspectCount() <= 8193U);
 }
