Calls: A response that completes nothing clears no suspected request

What callers would see: a request that crashes the endpoints that run it is passed on again and again under load.

Cause: any response of the endpoint cleared the request, a rejection as not run by a full endpoint as well, that of another instance (421), a failure and bytes that are no valid response. Since completions are told to other nodes, one such rejection would clear it everywhere.

Fix: only a valid response below 500 counts, as at the callers' nodes. VisitGateTest/ResponseThatCompletesNothingClearsNoSuspect failed before (the visit after the third crash got no refusal).

--- a/libraries/calls/visit_gate_responses.cc
+++ b/libraries/calls/visit_gate_responses.cc
@@ -70,6 +70,7 @@
       this->queue.Ended(now - visit.started);
       // The time of a failed request is only a lower bound of its service time.
       if (answer->status < http_status::kServerErrors) {
+        this->crashes.RecordCompletion(now, visit.request.fingerprint);
         this->times.RecordServiceTime(now, visit.route, now - visit.started);
       } else {
         this->times.RecordLowerBound(now, visit.route, now - visit.started);
@@ -113,7 +114,6 @@
   const auto& visit = found->second;
   switch (end) {
     case ExchangeResult::kResponded:
-      this->crashes.RecordCompletion(now, visit.request.fingerprint);
       this->HandleResponse(now, number, std::move(answer));
       break;
     case ExchangeResult::kNotSent:
--- a/tests/calls/visit_gate_test.cc
+++ b/tests/calls/visit_gate_test.cc
@@ -290,6 +290,28 @@
   BOOST_TEST(this->output.started.size() == 1U);
 }
 
+// Failure: under load, a rejection by a full backend server cleared a request
+// that crashes the servers that run it.
+BOOST_FIXTURE_TEST_CASE(ResponseThatCompletesNothingClearsNoSuspect, Fixture) {
+  const decision::Answer responses[] = {
+      MakeResponse(503, {"Not-Run"}), MakeResponse(421, {"Instance"}),
+      MakeResponse(500, {"Stamp"}), MakeResponse(200, {})};
+  decision::CallId call = 1;
+  for (std::uint64_t crash = 1; crash <= 3; ++crash) {
+    for (const auto& response : responses) {
+      this->gate.SetEntry(this->now, this->Entry());
+      this->SubmitVisit(call++);
+      this->EndOldestExchange(ExchangeResult::kResponded, response);
+    }
+    this->gate.SetEntry(this->now, this->Entry());
+    this->SubmitVisit(call++);
+    this->EndOldestExchange(ExchangeResult::kBroken);
+    this->crashes.RecordLocalCrash(this->now, crash);
+  }
+  this->SubmitVisit(100);
+  BOOST_TEST((this->ReplyReason(100) == Reason::kQuarantined));
+}
+
 // The opposite: the trial of a request that crashes backend servers is its
 // last.
 BOOST_FIXTURE_TEST_CASE(RequestThatCrashesItsTrialIsRefused, Fixture) {
