Proxy: A broken exchange is followed by a probe of the backend server

Cause: a crash was noticed by the connection that the next request opens. Several exchanges break at once under load, callers' nodes then avoid the endpoint for a second or more, and by the time a connection was refused, nothing had broken within the 500 ms before: event 603 says requests=0 for each crash.

Fix: when an exchange breaks, a connection is opened without a request; the next request takes it, so that it costs none. Probes go on for half a second unless a response arrives, as an endpoint may end its connections before it stops accepting new ones. EndpointPoolTest/CrashIsNoticedWithoutAnotherRequest and CrashAfterFirstProbeIsNoticed failed before (the backend server stayed reachable, no second connection).

--- a/libraries/proxy/endpoint_pool.cc
+++ b/libraries/proxy/endpoint_pool.cc
@@ -47,6 +47,11 @@
     this->SendOn(connection, std::move(exchange));
     return;
   }
+  if (auto* probe = this->FindProbe(); probe != nullptr) {
+    this->by_visit[exchange.visit] = probe->connection;
+    probe->exchange = std::move(exchange);
+    return;
+  }
   this->Open(std::move(exchange));
 }
 
@@ -117,6 +122,7 @@
                               HttpResponse response,
                               bool reusable) {
   this->last_activity = Now();
+  this->last_break.reset();
   const auto visit = this->busy.extract(connection.get()).mapped();
   this->by_visit.erase(visit);
   if (reusable) {
@@ -130,7 +136,14 @@
 void EndpointPool::OnBroken(const Connection& connection) {
   const auto visit = this->busy.extract(connection.get()).mapped();
   this->by_visit.erase(visit);
+  const auto now = Now();
+  this->last_break = now;
   this->observer.OnExchangeEnded(visit, ExchangeResult::kBroken, nullptr);
+  // Whether the backend server has crashed must not depend on when the next
+  // request comes. The connection replaces the one that was lost.
+  if (this->reachable && this->connecting.empty()) {
+    this->SendProbe(now);
+  }
 }
 
 void EndpointPool::OnIdleEnded(const Connection& connection) {
@@ -166,18 +179,32 @@
   this->observer.OnBackendReachable(is_reachable);
 }
 
-void EndpointPool::ProbeIfUnresponsive(Instant now) {
+bool EndpointPool::MayHaveCrashed(Instant now) const {
+  return this->last_break &&
+         now - *this->last_break < this->options.crash_probing_time;
+}
+
+EndpointPool::Connecting* EndpointPool::FindProbe() {
+  const auto found = std::find_if(
+      this->connecting.begin(), this->connecting.end(),
+      [](const auto& item) { return item.second.exchange.visit == 0; });
+  return found == this->connecting.end() ? nullptr : &found->second;
+}
+
+void EndpointPool::SendProbe(Instant now) {
+  this->last_probe = now;
+  this->Open({});
+}
+
+void EndpointPool::ProbeIfNeeded(Instant now) {
   const bool is_unresponsive =
       !this->busy.empty() &&
       now - this->last_activity > this->options.unresponsive_timeout;
-  if (!this->reachable || is_unresponsive) {
-    const bool is_probing = std::any_of(
-        this->connecting.begin(), this->connecting.end(),
-        [](const auto& item) { return item.second.exchange.visit == 0; });
-    if (!is_probing && now - this->last_probe > this->options.probe_interval) {
-      this->last_probe = now;
-      this->Open({});
-    }
+  const bool is_needed =
+      !this->reachable || is_unresponsive || this->MayHaveCrashed(now);
+  if (is_needed && this->FindProbe() == nullptr &&
+      now - this->last_probe > this->options.probe_interval) {
+    this->SendProbe(now);
   }
 }
 
@@ -221,7 +248,7 @@
       this->BreakAllExchanges();
     }
   }
-  this->ProbeIfUnresponsive(now);
+  this->ProbeIfNeeded(now);
   this->sweep_timer.expires_after(kSweepInterval);
   this->sweep_timer.async_wait([this](const std::error_code& error) {
     if (!error) {
--- a/libraries/proxy/endpoint_pool.h
+++ b/libraries/proxy/endpoint_pool.h
@@ -5,6 +5,7 @@
 #include <asio/steady_timer.hpp>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -45,6 +46,9 @@
     // If requests are in flight and no response or connection has completed for
     // longer than this, a connection probe is sent.
     Duration unresponsive_timeout = 500ms;
+    // After an exchange broke, probes are sent until a response arrives, for at
+    // most this long.
+    Duration crash_probing_time = 500ms;
   };
 
   // `io` and `observer` outlive the pool.
@@ -94,7 +98,12 @@
   void SendOn(const Connection& connection, Exchange exchange);
   void SetReachable(bool reachable);
   void Sweep();
-  void ProbeIfUnresponsive(Instant now);
+  // True if an exchange broke and no response has arrived since.
+  bool MayHaveCrashed(Instant now) const;
+  // The connection that is being opened without a request; nullptr if none is.
+  Connecting* FindProbe();
+  void SendProbe(Instant now);
+  void ProbeIfNeeded(Instant now);
   void BreakAllExchanges();
 
   asio::io_context& io;
@@ -108,6 +117,7 @@
   bool reachable = true;
   Instant last_probe{};
   Instant last_activity{};
+  std::optional<Instant> last_break;  // Unset once a response has arrived.
   std::uint64_t connections_opened = 0;
 };
 
--- a/tests/proxy/endpoint_pool_test.cc
+++ b/tests/proxy/endpoint_pool_test.cc
@@ -243,6 +243,51 @@
       fakes::RunUntil(this->io, [&] { return this->observer.reachable; }));
 }
 
+// Failure: a crash was noticed by the next request only. Under load, callers'
+// nodes avoid a backend server whose exchanges broke, so that came a second
+// later, and no request was suspected.
+BOOST_FIXTURE_TEST_CASE(CrashIsNoticedWithoutAnotherRequest, Fixture) {
+  using asio::ip::tcp;
+  tcp::acceptor acceptor(this->io,
+                         tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  tcp::socket accepted(this->io);
+  bool is_accepted = false;
+  acceptor.async_accept(
+      accepted, [&](const std::error_code& error) { is_accepted = !error; });
+  this->MakePool({.ip = asio::ip::address_v4::loopback().to_uint(),
+                  .port = acceptor.local_endpoint().port()});
+  this->Start(1);
+  BOOST_TEST_REQUIRE(fakes::RunUntil(this->io, [&] { return is_accepted; }));
+  acceptor.close();
+  accepted.close();
+  BOOST_TEST(
+      fakes::RunUntil(this->io, [&] { return !this->observer.reachable; }));
+  BOOST_TEST((this->observer.ended.at(1).end == ExchangeResult::kBroken));
+}
+
+// Failure: a backend server that closes its connections before it stops
+// accepting new ones passed the first probe.
+BOOST_FIXTURE_TEST_CASE(CrashAfterFirstProbeIsNoticed, Fixture) {
+  using asio::ip::tcp;
+  auto acceptor = std::make_unique<tcp::acceptor>(
+      this->io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+  // The listen queue accepts connections as long as the acceptor is open.
+  this->MakePool({.ip = asio::ip::address_v4::loopback().to_uint(),
+                  .port = acceptor->local_endpoint().port()});
+  this->Start(1);
+  tcp::socket accepted(this->io);
+  bool is_accepted = false;
+  acceptor->async_accept(
+      accepted, [&](const std::error_code& error) { is_accepted = !error; });
+  BOOST_TEST_REQUIRE(fakes::RunUntil(this->io, [&] { return is_accepted; }));
+  accepted.close();
+  BOOST_TEST_REQUIRE(fakes::RunUntil(
+      this->io, [&] { return this->pool->ConnectionsOpened() == 2; }));
+  acceptor.reset();
+  BOOST_TEST(
+      fakes::RunUntil(this->io, [&] { return !this->observer.reachable; }));
+}
+
 BOOST_FIXTURE_TEST_CASE(AbortedExchangeIsNotReported, Fixture) {
   this->Serve([](const std::string&) { return RawServer::ScriptedResponse{}; });
   this->Start(1);
