Retries: Exchanges that break after a crash was noticed belong to it

Cause: the refused connection that shows the crash may be handled before the ends of the exchanges.

Fix: an exchange that breaks within 500 ms after a crash was noticed is added to its report, like one that broke within 500 ms before; endpoints take longer to start again. CrashHistoryTest/ExchangesThatBreakAfterDetectionAreSuspected failed before.

--- a/libraries/retries/crash_history.cc
+++ b/libraries/retries/crash_history.cc
@@ -14,8 +14,8 @@
 // completed meanwhile.
 constexpr std::size_t kCrashesToQuarantine = 3;
 
-// Exchanges that broke within this time before a crash was detected are
-// attributed to it.
+// Exchanges that broke within this time before or after a crash was detected
+// are attributed to it. Backend servers take longer to start again.
 constexpr Duration kCrashWindow = 500ms;
 
 // Duration of a quarantine, from the latest crash on.
@@ -47,6 +47,11 @@
 
 void CrashHistory::RecordBrokenExchange(Instant now,
                                         std::uint64_t fingerprint) {
+  if (!this->local_crashes.empty() &&
+      now - this->local_crashes.back().time <= kCrashWindow) {
+    this->AttributeExchange(now, fingerprint, this->local_crashes.back());
+    return;
+  }
   this->broken_exchanges.push_back({.time = now, .fingerprint = fingerprint});
   while (this->broken_exchanges.size() > kMaxBrokenExchanges ||
          now - this->broken_exchanges.front().time > kCrashWindow) {
@@ -57,20 +62,25 @@
 std::vector<std::uint64_t> CrashHistory::RecordLocalCrash(
     Instant now,
     std::uint64_t crash_id) {
-  decision::CrashReport crash{.id = crash_id};
-  for (const auto& request : this->broken_exchanges) {
-    if (now - request.time <= kCrashWindow &&
-        crash.fingerprints.size() < kMaxReportedRequests) {
-      crash.fingerprints.push_back(request.fingerprint);
+  this->local_crashes.push_back({.time = now, .report = {.id = crash_id}});
+  auto& crash = this->local_crashes.back();
+  for (const auto& exchange : this->broken_exchanges) {
+    if (now - exchange.time <= kCrashWindow) {
+      this->AttributeExchange(now, exchange.fingerprint, crash);
     }
   }
   this->broken_exchanges.clear();
-  if (crash.fingerprints.empty()) {
-    return {};
+  return crash.report.fingerprints;
+}
+
+void CrashHistory::AttributeExchange(Instant now,
+                                     std::uint64_t fingerprint,
+                                     LocalCrash& crash) {
+  if (crash.report.fingerprints.size() >= kMaxReportedRequests) {
+    return;
   }
-  this->RecordSuspects(now, this->self, crash.id, crash.fingerprints);
-  this->local_crashes.push_back({.time = now, .report = crash});
-  return crash.fingerprints;
+  crash.report.fingerprints.push_back(fingerprint);
+  this->RecordSuspects(now, this->self, crash.report.id, {fingerprint});
 }
 
 void CrashHistory::RecordReportedCrash(Instant now,
@@ -192,7 +202,9 @@
   }
   std::vector<decision::CrashReport> crashes;
   for (const auto& crash : this->local_crashes) {
-    crashes.push_back(crash.report);
+    if (!crash.report.fingerprints.empty()) {
+      crashes.push_back(crash.report);
+    }
   }
   return crashes;
 }
--- a/libraries/retries/crash_history.h
+++ b/libraries/retries/crash_history.h
@@ -28,13 +28,13 @@
   NodeAddress Self() const { return this->self; }
 
   // Records that a backend server closed the connection during an exchange with
-  // this request. A single broken exchange proves nothing; many at the same
-  // time, or one shortly before a crash, do.
+  // this request. That alone proves nothing, unless it happens shortly before
+  // or after a crash is detected.
   void RecordBrokenExchange(Instant now, std::uint64_t fingerprint);
 
   // Records a crash of the local backend server, which has stopped accepting
   // connections. The caller draws `crash_id` at random. Returns the
-  // fingerprints of the requests that were running.
+  // fingerprints of the requests that are known to have been running.
   std::vector<std::uint64_t> RecordLocalCrash(Instant now,
                                               std::uint64_t crash_id);
 
@@ -104,6 +104,9 @@
     decision::CrashReport report;
   };
 
+  void AttributeExchange(Instant now,
+                         std::uint64_t fingerprint,
+                         LocalCrash& crash);
   void RecordCrash(Instant now,
                    NodeAddress reporter,
                    std::uint64_t fingerprint,
--- a/tests/retries/crash_history_test.cc
+++ b/tests/retries/crash_history_test.cc
@@ -156,6 +156,28 @@
   BOOST_TEST(history.RecordLocalCrash(120s, 1).empty());
 }
 
+// Failure: the refused connection that shows a crash may be handled before the
+// ends of the exchanges, and those were not attributed to it.
+BOOST_AUTO_TEST_CASE(ExchangesThatBreakAfterDetectionAreSuspected) {
+  CrashHistory local;
+  CrashHistory remote;
+  for (std::uint64_t id = 1; id <= 3; ++id) {
+    const Instant crash = 100s + std::chrono::seconds(5 * id);
+    local.RecordBrokenExchange(crash, id * 1000);
+    BOOST_TEST(local.RecordLocalCrash(crash, id).size() == 1U);
+    local.RecordBrokenExchange(crash + 1ms, kPoison);
+    // That of a request after the restart.
+    local.RecordBrokenExchange(crash + 2s, kPoison + 1);
+    for (const auto& report : local.HeartbeatEntries(crash + 100ms)) {
+      remote.RecordReportedCrash(crash + 100ms, kReporter, report);
+    }
+  }
+  for (const auto* history : {&local, &remote}) {
+    BOOST_TEST(history->IsQuarantined(116s, kPoison));
+    BOOST_TEST(!history->IsQuarantined(116s, kPoison + 1));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(QuarantineExpires) {
   CrashHistory history;
   for (std::uint64_t id = 1; id <= 3; ++id) {
