Retries: A crash of a busy server is reported in parts that fit a heartbeat

What callers would see: a request that crashes its endpoints is refused by the nodes beside these only, and sent on by all others.

Cause: a report held up to 128 requests, 1.3 KB of a datagram of 1.4 KB. When it didn't fit beside the load, the whole crash was left out of each heartbeat, and a popular request with many copies filled it. Which 128 were reported was chance.

Fix: copies are reported once, at most 64 requests go into a heartbeat and the others into those of the next 600 ms, so that nodes of other failure domains get all of them as well. Suspects of earlier crashes come first.

--- a/libraries/retries/crash_history.cc
+++ b/libraries/retries/crash_history.cc
@@ -38,6 +38,13 @@
 
 constexpr std::size_t kMaxBrokenExchanges = 1024;
 constexpr std::size_t kMaxReportedRequests = 128;
+
+// Requests of a crash in one heartbeat, which has to fit into a datagram, and
+// the time until the next ones are reported: nodes of other failure domains
+// receive a heartbeat in each such time.
+constexpr std::size_t kRequestsPerReport = 64;
+constexpr Duration kReportPartTime = 600ms;
+
 constexpr std::size_t kMaxSuspects = 8192;
 constexpr std::size_t kMaxCrashesPerSuspect = 32;
 constexpr std::size_t kMaxReportersPerSuspect = 4;
@@ -76,10 +83,21 @@
 void CrashHistory::AttributeExchange(Instant now,
                                      std::uint64_t fingerprint,
                                      LocalCrash& crash) {
-  if (crash.report.fingerprints.size() >= kMaxReportedRequests) {
+  auto& fingerprints = crash.report.fingerprints;
+  if (std::find(fingerprints.begin(), fingerprints.end(), fingerprint) !=
+      fingerprints.end()) {
+    return;
+  }
+  const auto known = this->suspects.find(fingerprint);
+  const bool is_suspect = known != this->suspects.end() &&
+                          known->second.crashes_since_completion > 0;
+  if (!is_suspect && fingerprints.size() >= kMaxReportedRequests) {
     return;
   }
-  crash.report.fingerprints.push_back(fingerprint);
+  // Suspects of earlier crashes displace others.
+  fingerprints.insert(is_suspect ? fingerprints.begin() : fingerprints.end(),
+                      fingerprint);
+  fingerprints.resize(std::min(fingerprints.size(), kMaxReportedRequests));
   this->RecordSuspects(now, this->self, crash.report.id, {fingerprint});
 }
 
@@ -203,12 +221,24 @@
   std::vector<decision::CrashReport> crashes;
   for (const auto& crash : this->local_crashes) {
     if (!crash.report.fingerprints.empty()) {
-      crashes.push_back(crash.report);
+      crashes.push_back(ReportPart(now, crash));
     }
   }
   return crashes;
 }
 
+decision::CrashReport CrashHistory::ReportPart(Instant now,
+                                               const LocalCrash& crash) {
+  const auto& all = crash.report.fingerprints;
+  const auto parts = (all.size() + kRequestsPerReport - 1) / kRequestsPerReport;
+  const auto round =
+      static_cast<std::size_t>((now - crash.time) / kReportPartTime);
+  const auto begin = round % parts * kRequestsPerReport;
+  const auto end = std::min(all.size(), begin + kRequestsPerReport);
+  return {.id = crash.report.id,
+          .fingerprints = {all.data() + begin, all.data() + end}};
+}
+
 std::vector<std::uint64_t> CrashHistory::ClearedRequests(Instant now) {
   while (!this->cleared_requests.empty() &&
          now - this->cleared_requests.front().time > kMaxReportAge) {
--- a/libraries/retries/crash_history.h
+++ b/libraries/retries/crash_history.h
@@ -104,6 +104,8 @@
     decision::CrashReport report;
   };
 
+  // The requests of the crash that are reported now.
+  static decision::CrashReport ReportPart(Instant now, const LocalCrash& crash);
   void AttributeExchange(Instant now,
                          std::uint64_t fingerprint,
                          LocalCrash& crash);
--- a/tests/retries/crash_history_test.cc
+++ b/tests/retries/crash_history_test.cc
@@ -178,6 +178,54 @@
   }
 }
 
+// Failure: a crash of a busy backend server was reported to no node, since its
+// report with all requests that were running didn't fit into a heartbeat.
+BOOST_AUTO_TEST_CASE(CrashOfBusyServerIsReportedInParts) {
+  constexpr std::uint64_t kRunning = 120;
+  // What is left of a datagram for crashes, and the size of one fingerprint.
+  constexpr std::size_t kMaxBytes = 700;
+  constexpr std::size_t kFingerprintBytes = 10;
+  // Nodes of other failure domains receive every second heartbeat.
+  for (const auto interval : {300ms, 600ms}) {
+    CrashHistory local;
+    CrashHistory remote;
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+      const Instant crash = 100s + std::chrono::seconds(5 * id);
+      for (std::uint64_t other = 0; other < kRunning; ++other) {
+        local.RecordBrokenExchange(crash, id * 1000 + other);
+        // Copies of one request are one suspect.
+        local.RecordBrokenExchange(crash, kPoison);
+      }
+      local.RecordLocalCrash(crash, id);
+      for (Duration age = 0ms; age <= 2s; age += interval) {
+        for (const auto& report : local.HeartbeatEntries(crash + age)) {
+          BOOST_TEST(report.fingerprints.size() * kFingerprintBytes <=
+                     kMaxBytes);
+          remote.RecordReportedCrash(crash + age, kReporter, report);
+        }
+      }
+      BOOST_TEST(remote.Count(crash + 2s).suspected +
+                     remote.Count(crash + 2s).quarantined ==
+                 id * kRunning + 1);
+    }
+    BOOST_TEST(remote.IsQuarantined(118s, kPoison));
+  }
+}
+
+// Failure: at a crash of a very busy server, a request that had been running at
+// earlier crashes was left out of the report.
+BOOST_AUTO_TEST_CASE(EarlierSuspectsComeFirstInReport) {
+  CrashHistory history;
+  RecordCrash(history, 100s, 1);
+  for (std::uint64_t other = 0; other < 900; ++other) {
+    history.RecordBrokenExchange(105s, 9000 + other);
+  }
+  history.RecordBrokenExchange(105s, kPoison);
+  history.RecordLocalCrash(105s, 2);
+  RecordCrash(history, 110s, 3);
+  BOOST_TEST(history.IsQuarantined(110s, kPoison));
+}
+
 BOOST_AUTO_TEST_CASE(QuarantineExpires) {
   CrashHistory history;
   for (std::uint64_t id = 1; id <= 3; ++id) {
