Calls: Tests of the gate let time pass between crashes of one server

The tests let one server crash three times at the same instant, and what breaks within 500 ms after a crash belongs to that crash now. The tests let a second pass between the crashes and check the same as before.

--- a/tests/calls/visit_gate_test.cc
+++ b/tests/calls/visit_gate_test.cc
@@ -264,6 +264,7 @@
     this->SubmitVisit(crash);
     this->EndOldestExchange(ExchangeResult::kBroken);
     this->crashes.RecordLocalCrash(this->now, crash);
+    this->now += 1s;
   }
   this->SubmitVisit(9);
   BOOST_TEST((this->ReplyReason(9) == Reason::kQuarantined));
@@ -277,6 +278,7 @@
     this->SubmitVisit(crash);
     this->EndOldestExchange(ExchangeResult::kBroken);
     this->crashes.RecordLocalCrash(this->now, crash);
+    this->now += 1s;
   }
   this->now += 3s;
   this->SubmitVisit(10);
@@ -307,6 +309,7 @@
     this->SubmitVisit(call++);
     this->EndOldestExchange(ExchangeResult::kBroken);
     this->crashes.RecordLocalCrash(this->now, crash);
+    this->now += 1s;
   }
   this->SubmitVisit(100);
   BOOST_TEST((this->ReplyReason(100) == Reason::kQuarantined));
