Retries: A request completed shortly before a crash is no suspect

What callers would see: a popular request is refused for two minutes when another crash comes while it is on trial.

Cause: a popular request became a suspect at each crash and depended on being completed before the third.

CrashHistoryTest/RequestCompletedShortlyBeforeIsNoSuspect holds both directions.

--- a/libraries/retries/crash_history.h
+++ b/libraries/retries/crash_history.h
@@ -11,13 +11,15 @@
 #include "libraries/base/node_address.h"
 #include "libraries/base/time.h"
 #include "libraries/decision/events.h"
+#include "libraries/retries/recent_completions.h"
 
 namespace agaterun::retries {
 
 // History of backend server crashes and of the requests that were running at
 // the time. A request that was running at several crashes, of the same or of
-// different servers, and that no backend server has completed meanwhile, is
-// assumed to cause them and is quarantined: all nodes refuse it for some time.
+// different servers, and that no backend server has completed meanwhile or
+// shortly before, is assumed to cause them and is quarantined: all nodes refuse
+// it for some time.
 // It is tried once in that time, since servers also crash together for another
 // reason. Nodes report crashes and completions of suspects to each other.
 class CrashHistory {
@@ -119,6 +121,7 @@
                       const std::vector<std::uint64_t>& fingerprints);
 
   NodeAddress self;
+  RecentCompletions completions;
   std::deque<BrokenExchange> broken_exchanges;
   std::deque<LocalCrash> local_crashes;
   std::deque<ClearedRequest> cleared_requests;
