Proxy: A planned stop waits until answers are written

Cause: the process counted as idle when no call and no visit was in flight. Both end when the answer is handed to the connection, not when it is written.

Fix: a stop ends when also no connection receives a request or has output, and nothing waits to be written to other nodes. The end of the grace is as before, so that a caller that reads nothing holds nothing. HttpListenerTest/RequestIsUnfinishedUntilItsResponseIsWritten asks what the stop asks now; there was nothing to ask before.

--- a/libraries/node/connection.h
+++ b/libraries/node/connection.h
@@ -105,6 +105,9 @@
 
   bool IsOutgoing() const { return this->is_outgoing; }
 
+  // Size of the frames that are not written in full. Safe from any thread.
+  std::size_t QueuedBytes() const { return this->queued_bytes.load(); }
+
   // Removes a visit whose reply was received. Returns false when the visit is
   // not in flight on this connection.
   bool FinishVisit(const decision::AttemptId& attempt);
--- a/libraries/node/node_links.cc
+++ b/libraries/node/node_links.cc
@@ -75,6 +75,10 @@
   return this->implementation->ConnectionCount();
 }
 
+std::size_t NodeLinks::QueuedBytes() const {
+  return this->implementation->QueuedBytes();
+}
+
 SentBytes::ByKind NodeLinks::Sent(
     const std::function<bool(NodeAddress)>& selected) const {
   return this->implementation->Sent().Sum(selected);
--- a/libraries/node/node_links.h
+++ b/libraries/node/node_links.h
@@ -111,6 +111,9 @@
 
   std::size_t ConnectionCount() const;
 
+  // Bytes that wait to be written to other nodes.
+  std::size_t QueuedBytes() const;
+
   NodeLinksCounters Counters() const;
   // Bytes sent to the nodes for which `selected` returns true.
   SentBytes::ByKind Sent(
--- a/libraries/node/node_links_implementation.cc
+++ b/libraries/node/node_links_implementation.cc
@@ -178,6 +178,15 @@
   return this->connections.size();
 }
 
+std::size_t NodeLinks::Implementation::QueuedBytes() const {
+  const std::lock_guard lock(this->mutex);
+  std::size_t bytes = 0;
+  for (const auto& connection : this->connections) {
+    bytes += connection->QueuedBytes();
+  }
+  return bytes;
+}
+
 void NodeLinks::Implementation::SetAllowedPeers(
     std::function<bool(NodeAddress)> allowed) {
   auto shared = std::make_shared<const std::function<bool(NodeAddress)>>(
--- a/libraries/node/node_links_implementation.h
+++ b/libraries/node/node_links_implementation.h
@@ -50,6 +50,7 @@
   // Closes everything without further calls of the observer.
   void CloseWithoutNotifying();
   std::size_t ConnectionCount() const;
+  std::size_t QueuedBytes() const;
   NodeLinksCounters Counters() const;
   const SentBytes& Sent() const { return this->sent; }
 
--- a/libraries/proxy/http_listener.cc
+++ b/libraries/proxy/http_listener.cc
@@ -1,5 +1,6 @@
 #include "libraries/proxy/http_listener.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -156,6 +157,12 @@
   }
 }
 
+bool HttpListener::HasUnfinishedRequests() const {
+  return std::any_of(
+      this->connections.begin(), this->connections.end(),
+      [](const auto& connection) { return !connection->IsIdle(); });
+}
+
 void HttpListener::StopAccepting() {
   std::error_code ignored;
   this->acceptor.close(ignored);
--- a/libraries/proxy/http_listener.h
+++ b/libraries/proxy/http_listener.h
@@ -66,6 +66,10 @@
 
   std::size_t ConnectionCount() const { return this->connections.size(); }
 
+  // True while a request is being received or is in flight, or a response is
+  // not written in full.
+  bool HasUnfinishedRequests() const;
+
   // --- Called by HttpConnection. ---
 
   const Options& GetOptions() const { return this->options; }
--- a/libraries/proxy/proxy_node.cc
+++ b/libraries/proxy/proxy_node.cc
@@ -399,8 +399,11 @@
     this->gate.StartLeaving(now);
     this->BroadcastOwnLoad();
   }
-  const bool is_idle =
-      this->origin.CallsInFlight() == 0 && this->gate.VisitsInFlight() == 0;
+  // A call and a visit end before their response is written.
+  const bool is_idle = this->origin.CallsInFlight() == 0 &&
+                       this->gate.VisitsInFlight() == 0 &&
+                       !this->callers->HasUnfinishedRequests() &&
+                       this->links->QueuedBytes() == 0;
   if (this->planned_stop.FinishIfDue(now, is_idle)) {
     this->callers->StopAccepting();
     this->origin.EndAllCalls(now);
--- a/tests/proxy/http_listener_test.cc
+++ b/tests/proxy/http_listener_test.cc
@@ -41,6 +41,11 @@
     asio::write(this->socket, asio::buffer(bytes));
   }
   void Close() { this->socket.close(); }
+  void PauseReading() { this->is_paused = true; }
+  void ResumeReading() {
+    this->is_paused = false;
+    this->Read();
+  }
 
   std::string received;
   bool ended = false;
@@ -55,12 +60,15 @@
             return;
           }
           this->received.append(this->input.data(), count);
-          this->Read();
+          if (!this->is_paused) {
+            this->Read();
+          }
         });
   }
 
   asio::ip::tcp::socket socket;
   std::array<char, 4096> input{};
+  bool is_paused = false;
 };
 
 struct Fixture {
@@ -161,6 +169,47 @@
   BOOST_TEST(this->Until([&] { return this->sink.requests.size() == 2; }));
 }
 
+// Failure: a planned stop ended the process while callers were still reading
+// responses, or sending their requests.
+BOOST_FIXTURE_TEST_CASE(RequestIsUnfinishedUntilItsResponseIsWritten, Fixture) {
+  constexpr std::size_t kResponseBytes = 16 * 1024 * 1024;
+  RawCaller caller(this->io, this->address);
+  BOOST_TEST(
+      this->Until([&] { return this->listener.ConnectionCount() == 1; }));
+  BOOST_TEST(!this->listener.HasUnfinishedRequests());
+  caller.Send("POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab");
+  BOOST_TEST(
+      this->Until([&] { return this->listener.HasUnfinishedRequests(); }));
+  BOOST_TEST(this->sink.requests.empty());
+  caller.Send("cd");
+  BOOST_TEST(this->Until([&] { return this->sink.requests.size() == 1; }));
+  this->listener.StartClosing();
+  BOOST_TEST(this->listener.HasUnfinishedRequests());
+  caller.PauseReading();
+  this->listener.Respond(
+      1, {.status = 200, .body = std::string(kResponseBytes, 'x')});
+  this->Until([&] { return !caller.received.empty(); });
+  BOOST_TEST(this->listener.HasUnfinishedRequests());
+  caller.ResumeReading();
+  BOOST_TEST(
+      this->Until([&] { return !this->listener.HasUnfinishedRequests(); }));
+  BOOST_TEST(
+      this->Until([&] { return caller.received.size() > kResponseBytes; }));
+}
+
+// The opposite: neither an idle connection nor one whose caller has left holds
+// the process.
+BOOST_FIXTURE_TEST_CASE(IdleAndClosedConnectionsAreNotUnfinished, Fixture) {
+  RawCaller idle(this->io, this->address);
+  RawCaller leaving(this->io, this->address);
+  leaving.Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  BOOST_TEST(this->Until([&] { return this->sink.requests.size() == 1; }));
+  BOOST_TEST(this->listener.HasUnfinishedRequests());
+  leaving.Close();
+  BOOST_TEST(
+      this->Until([&] { return !this->listener.HasUnfinishedRequests(); }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace agaterun::proxy
