--- a/tests/retries/crash_fleet.cc
+++ b/tests/retries/crash_fleet.cc
@@ -192,8 +192,14 @@
   auto& sender = this->nodes[from].history;
   const auto crashes = sender.HeartbeatEntries(this->now);
   const auto cleared = sender.ClearedRequests(this->now);
+  const double part =
+      this->options.heartbeat_targets == 0
+          ? 1
+          : static_cast<double>(this->options.heartbeat_targets) /
+                static_cast<double>(this->nodes.size());
+  const double chance = part * (1 - this->options.lost_heartbeats);
   for (std::size_t to = 0; to < this->nodes.size(); ++to) {
-    if (to == from || this->random.Unit() < this->options.lost_heartbeats) {
+    if (to == from || this->random.Unit() >= chance) {
       continue;
     }
     auto& receiver = this->nodes[to].history;
--- a/tests/retries/crash_fleet.h
+++ b/tests/retries/crash_fleet.h
@@ -21,6 +21,9 @@
     int nodes = 6;
     int endpoints = 3;
     double lost_heartbeats = 0.1;
+    // Number of nodes that receive each heartbeat, drawn at random; all of them
+    // if zero.
+    int heartbeat_targets = 0;
     // The crashing request is sent this often; never if zero.
     Duration crashing_interval = 5s;
     std::uint64_t seed = 1;
