--- a/libraries/retries/crash_history.h
+++ b/libraries/retries/crash_history.h
@@ -19,9 +19,9 @@
 // the time. A request that was running at several crashes, of the same or of
 // different servers, and that no backend server has completed meanwhile or
 // shortly before, is assumed to cause them and is quarantined: all nodes refuse
-// it for some time.
-// It is tried once in that time, since servers also crash together for another
-// reason. Nodes report crashes and completions of suspects to each other.
+// it for some time. It is tried once in that time, since servers also crash
+// together for another reason. Nodes report crashes and completions of suspects
+// to each other.
 class CrashHistory {
  public:
   // `self` is the address of this node.
