--- a/libraries/retries/crash_history.cc
+++ b/libraries/retries/crash_history.cc
@@ -114,8 +114,8 @@
                                NodeAddress reporter,
                                std::uint64_t fingerprint,
                                Suspect& suspect) {
-  // A quarantined request runs only on trial, so this is the crash of its trial,
-  // unless its copies crashed several servers at once.
+  // A quarantined request runs only on trial, so this is the crash of its
+  // trial, unless its copies crashed several servers at once.
   suspect.trial_failed |= this->IsQuarantined(now, fingerprint) &&
                           now - suspect.last_crash > kTrialDelay;
   suspect.last_crash = now;
