--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,58 +1,92 @@
-"""A machine freezes for 3 s soon after the start of the deployment, before the
-operator's first configuration, and wakes again."""
+"""A node is killed and started again while the endpoint next to it goes on
+running requests, which make a call each afterwards."""
 
 import os
 import signal
 import sys
+import threading
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "stand_ins_2"))
 import region as stand_ins  # noqa: E402
 
-FREEZE_AT = 0.7
-FREEZE = 3.0
-CONFIGURATION_AT = 6.0
+REQUESTS = 20
+MOST_DENIED = 10  # DENIED: "more than ten from machines out of touch".
+
+
+class CallingEndpoint(stand_ins.Endpoint):
+    """Works as long as the path says, makes one call through the node next to
+    it and answers. It goes on when a connection closes."""
+
+    def work(self, headers, query):
+        if query.get("call") is None:
+            return
+        time.sleep(float(query["call"]))
+        caller = stand_ins.Client(self.node)
+        request_id = headers["x-request-id"] + ".1"
+        # While its node is away or has no configuration, it tries again.
+        for _ in range(5):
+            status = caller.ask("GET", "x.example", "/lookup/1", request_id, 1900)[0]
+            if status not in (-1, 0, 503):
+                break
+            time.sleep(0.3)
+        caller.close()
+        self.calls.append(status)
 
 
 def main():
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = stand_ins.Record(os.path.join(FOLDER, "record.txt"))
-    region = stand_ins.Region(record)
-    nodes = [region.add("dispatch", zone, slots=121) for _ in range(3) for zone in ("a", "b", "c")]
-    route = {"Host": "x.example", "Prefix": "/send/", "Kind": "unsafe", "Timeout": "5000ms",
-             "TargetLatency": "1500ms", "Priority": 0, "Service": "dispatch", "MaxAttempts": 2}
-    frozen = nodes[0]
+    stand_ins.Endpoint = CallingEndpoint
+    region = stand_ins.Region(record, tenants=[
+        ("acme", {"ApiKeys": ["key-of-acme"], "Priority": 0})])
+    front = region.add("dispatch", "a")
+    region.add("vault", "b")
+    region.add("vault", "c")
+    for node in region.nodes:
+        node.endpoint.node = node
+        node.endpoint.calls = []
+    common = {"Host": "x.example", "Timeout": "5000ms", "TargetLatency": "1500ms",
+              "MaxAttempts": 2, "Public": False}
+    region.configure(7, {
+        "r-send": dict(common, Prefix="/send/", Kind="unsafe", Priority=0, Service="dispatch"),
+        "r-lookup": dict(common, Prefix="/lookup/", Kind="safe", Priority=2, Service="vault")})
+    key = (("X-Api-Key", "key-of-acme"),)
     try:
-        start = time.monotonic()
-        for node in nodes:
-            node.start()
-        time.sleep(FREEZE_AT)
-        if any(node.process.poll() is not None for node in nodes):
+        if not region.start():
+            print("the nodes did not become ready")
             return 2
+        time.sleep(4)  # Longer than Contact, so that the hosts are in touch.
+        probe = stand_ins.Client(front)
+        if probe.ask("POST", "x.example", "/send/0?call=0.1", "first", headers=key)[0] != 200 \
+                or front.endpoint.calls != [200]:
+            print("a first request and its call were not served:", front.endpoint.calls)
+            return 2
+        front.endpoint.calls.clear()
+        threads = [threading.Thread(target=stand_ins.Client(front).ask, args=(
+            "POST", "x.example", "/send/1?call=3", "send-%d" % number, 5000, key))
+            for number in range(REQUESTS)]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.5)
         if trouble:
-            frozen.signal(signal.SIGSTOP)
-        time.sleep(FREEZE)
-        if trouble:
-            frozen.signal(signal.SIGCONT)
-        time.sleep(start + CONFIGURATION_AT - time.monotonic())
-        region.configure(7, {"r-send": route})
-        end = time.monotonic() + 8
-        while not all(node.is_ready() for node in nodes if node.process.poll() is None) \
-                and time.monotonic() < end:
+            front.signal(signal.SIGKILL)
+            front.process.wait()
+            time.sleep(0.5)
+            front.start()
+        for thread in threads:
+            thread.join()
+        end = time.monotonic() + 10
+        while len(front.endpoint.calls) < REQUESTS and time.monotonic() < end:
             time.sleep(0.1)
-        ended = [node for node in nodes if node.process.poll() is not None]
-        words = {node.name: node.log().strip().splitlines()[-1].replace(stand_ins.ROOT + "/", "")
-                 for node in ended}
-        for node in ended:
-            record.add("ended", node.name, "status", node.process.returncode, words[node.name])
-        ready = [node for node in nodes if node.is_ready()]
-        statuses = [stand_ins.Client(node).ask("POST", "x.example", "/send/1", "id-" + node.name)[0]
-                    for node in nodes]
-        record.add("ready", len(ready), "statuses", *statuses)
-        print("ended by themselves: %s; ready %d of %d; statuses %s" % (
-            [(node.name, node.process.returncode, words[node.name]) for node in ended], len(ready), len(nodes), statuses))
-        return 1 if ended else 0
+        calls = front.endpoint.calls
+        denied = calls.count(401)
+        record.add("calls", *calls)
+        print("calls %s, denied %d" % (calls, denied))
+        if len(calls) < REQUESTS:
+            return 2
+        return 1 if denied > MOST_DENIED else 0
     finally:
         region.stop()
 
