--- a/review/stand_ins_2/region.py
+++ b/review/stand_ins_2/region.py
@@ -317,12 +317,16 @@
         self.nodes = []
 
     def free_ports(self):
+        """A port that is free, with the four after it, at the loopback addresses of
+        all hosts and of the store."""
+        hosts = [self.block + str(number) for number in (*range(1, 21), 200)]
         while True:
             port = random.randint(20000, 30000)
             try:
-                for offset in range(5):
-                    with socket.socket() as probe:
-                        probe.bind(("0.0.0.0", port + offset))
+                for host in hosts:
+                    for offset in range(5):
+                        with socket.socket() as probe:
+                            probe.bind((host, port + offset))
                 return port
             except OSError:
                 continue
