Proxy: A reset completes no response, whichever call sees it first

What callers saw: a backend server answers a long upload at once with a 200 without a length, sends part of the body and resets the connection while the upload is being written. Callers got that part as a complete 200.

Cause: a socket reports its error once. EndpointConnection wrote requests with async_write and ignored the result. Where the write took ECONNRESET, the next read returned 0, as at an orderly end, and that completes a response without a length. With both operations pending the write goes first.

Change: the connection writes by itself, one write_some for each time that the socket takes bytes, and keeps whether a write failed; the end of the input then completes nothing. EPIPE is left out, since the kernel reports it only where the peer had ended its side in order before the reset, so that the response was complete. With the result of each write known before the next read, the order of the two no longer matters.

--- a/libraries/proxy/endpoint_connection.cc
+++ b/libraries/proxy/endpoint_connection.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <asio/buffer.hpp>
-#include <asio/write.hpp>
 #include <utility>
 
 #include "libraries/base/clock.h"
@@ -81,17 +80,39 @@
     this->parser.ExpectNoBody();
   }
   this->writing = true;
-  asio::async_write(
-      this->socket, asio::buffer(this->request),
-      [self = this->shared_from_this()](const std::error_code& /*error*/,
-                                        std::size_t /*count*/) {
-        // The error is ignored: a failed write also ends the read side, after
-        // any response that the backend server sent before.
-        self->writing = false;
-      });
+  this->request_written = 0;
+  this->Write();
   this->Read();
 }
 
+void EndpointConnection::Write() {
+  std::error_code error;
+  this->request_written += this->socket.write_some(
+      asio::buffer(this->request) + this->request_written, error);
+  if (error && error != asio::error::would_block) {
+    // The backend server may have responded before it ended the connection, so
+    // what it sent is still read. The socket reports its error only once,
+    // though: the read finds an orderly end even after a reset. Only
+    // broken_pipe means that the input had ended in order before.
+    this->failed_in_write = error != asio::error::broken_pipe;
+    return;
+  }
+  this->writing = this->request_written < this->request.size();
+  if (this->writing) {
+    this->WaitForOutput();
+  }
+}
+
+void EndpointConnection::WaitForOutput() {
+  this->socket.async_wait(
+      tcp::socket::wait_write,
+      [self = this->shared_from_this()](const std::error_code& error) {
+        if (!error && self->state != State::kClosed) {
+          self->Write();
+        }
+      });
+}
+
 void EndpointConnection::Read() {
   if (this->reading || this->state == State::kClosed) {
     return;
@@ -119,7 +140,7 @@
     return;
   }
   if (read_error) {
-    this->OnEnd(read_error == asio::error::eof);
+    this->OnEnd(read_error == asio::error::eof && !this->failed_in_write);
     return;
   }
   this->OnBytes(std::string_view(ReadBuffer().data(), count));
--- a/libraries/proxy/endpoint_connection.h
+++ b/libraries/proxy/endpoint_connection.h
@@ -65,6 +65,9 @@
  private:
   enum class State { kConnecting, kIdle, kBusy, kClosed };
 
+  // Writes what the socket takes of the request, and waits to write the rest.
+  void Write();
+  void WaitForOutput();
   void Read();
   void OnReadable(const std::error_code& error);
   void OnBytes(std::string_view bytes);
@@ -77,10 +80,12 @@
   std::string request_id_header;
   http::ResponseParser parser;
   std::string request;
+  std::size_t request_written = 0;  // Bytes of it.
   std::string request_id;
   State state = State::kConnecting;
   bool reading = false;
   bool writing = false;
+  bool failed_in_write = false;  // Other than behind the end of its input.
   bool has_received_response = false;
   bool received_mismatched_response = false;
   Instant idle_since{};
--- a/tests/proxy/endpoint_pool_test.cc
+++ b/tests/proxy/endpoint_pool_test.cc
@@ -1,11 +1,11 @@
 #include "libraries/proxy/endpoint_pool.h"
 
 #include <boost/test/unit_test.hpp>
-#include <map>
 
 #include "tests/fakes/free_port.h"
 #include "tests/fakes/raw_server.h"
 #include "tests/fakes/run_until.h"
+#include "tests/proxy/recording_observer.h"
 
 namespace agaterun::proxy {
 
@@ -15,27 +15,6 @@
 using fakes::RawServer;
 using End = RawServer::ScriptedResponse::End;
 
-class RecordingObserver final : public EndpointObserver {
- public:
-  struct Ended {
-    ExchangeResult end = ExchangeResult::kBroken;
-    decision::Answer answer;
-  };
-
-  void OnExchangeEnded(calls::VisitNumber visit,
-                       ExchangeResult end,
-                       decision::Answer answer) override {
-    BOOST_TEST(!this->ended.contains(visit), "ended twice");
-    this->ended[visit] = {end, std::move(answer)};
-  }
-  void OnBackendReachable(bool reachable) override {
-    this->reachable = reachable;
-  }
-
-  std::map<calls::VisitNumber, Ended> ended;
-  bool reachable = true;
-};
-
 std::string Response(const std::string& id, const std::string& body) {
   return "HTTP/1.1 200 OK\r\nId: " + id +
          "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
