Proxy: A response is written to its caller without copies of its body

What callers saw: responses without end, and bursts of long ones, took processes over the memory of their machine, and the requests of all other callers ended with them. This commit takes away one part of the cause.

Cause: a response was held up to three times. EndpointConnection handed it on, HttpConnection copied it into its list of pending responses and once more, together with the head, into its output.

Change: the origin hands on the shared response, and the connection writes head and body as two buffers. The body is held until it has been written or the caller has left. WriteResponse is put together from WriteResponseHead.

Evidence: BodyIsNotCopiedAndNotHeldAfterItIsWritten and BodyIsNotHeldForCallerThatHasLeft; they need the interface that takes the shared response, so they don't compile on the code before.

--- a/libraries/calls/call_origin.cc
+++ b/libraries/calls/call_origin.cc
@@ -189,7 +189,7 @@
         return;
       }
     }
-    this->EndCall(now, *call, *answer, Reason::kNone);
+    this->EndCall(now, *call, answer, Reason::kNone);
     return;
   }
   call->tried.push_back(node);
@@ -340,14 +340,23 @@
 
 void CallOrigin::EndCall(Instant now,
                          Call& call,
-                         const HttpResponse& response,
+                         HttpResponse response,
                          Reason reason) {
-  if (call.parent && response.status == http_status::kUnavailable &&
+  this->EndCall(now, call,
+                std::make_shared<const HttpResponse>(std::move(response)),
+                reason);
+}
+
+void CallOrigin::EndCall(Instant now,
+                         Call& call,
+                         const Answer& response,
+                         Reason reason) {
+  if (call.parent && response->status == http_status::kUnavailable &&
       !call.refused_costs.empty()) {
     this->output.NestedCallEnded(call.parent->visit, call.refused_costs);
   }
   const bool is_not_run =
-      reason != Reason::kNone && response.status == http_status::kUnavailable;
+      reason != Reason::kNone && response->status == http_status::kUnavailable;
   if (is_not_run && !call.parent && !call.account.empty()) {
     this->quotas.Return(now, call.account);
   }
@@ -355,7 +364,7 @@
                             .service = call.service,
                             .account = call.account,
                             .overloaded_service = call.overloaded_service,
-                            .status = response.status,
+                            .status = response->status,
                             .reason = reason,
                             .attempts = static_cast<int>(call.attempts),
                             .elapsed = now - call.arrived,
--- a/libraries/calls/call_origin.h
+++ b/libraries/calls/call_origin.h
@@ -57,7 +57,7 @@
       VisitNumber parent,
       const std::vector<decision::ServiceCost>& costs) = 0;
   virtual void RespondToCaller(decision::CallId call,
-                               const HttpResponse& response,
+                               const decision::Answer& response,
                                const HttpRequest& request,
                                const CallSummary& summary) = 0;
 };
@@ -240,7 +240,12 @@
   void EndExpiredCall(Instant now, Call& call);
   void EndCall(Instant now,
                Call& call,
-               const HttpResponse& response,
+               const decision::Answer& response,
+               decision::Reason reason);
+  // The same with a response of this node itself.
+  void EndCall(Instant now,
+               Call& call,
+               HttpResponse response,
                decision::Reason reason);
   void CancelCurrentAttempt(Instant now, Call& call, bool is_unresponsive);
 
--- a/libraries/calls/call_origin_entry.cc
+++ b/libraries/calls/call_origin_entry.cc
@@ -55,7 +55,9 @@
     // RFC 9110, section 15.5.2, requires this header.
     response.headers.push_back({"WWW-Authenticate", "ApiKey"});
   }
-  this->output.RespondToCaller(id, response, request, summary);
+  this->output.RespondToCaller(
+      id, std::make_shared<const HttpResponse>(std::move(response)), request,
+      summary);
 }
 
 void CallOrigin::RejectAsUnavailable(CallId id,
--- a/libraries/http/message_writer.cc
+++ b/libraries/http/message_writer.cc
@@ -60,29 +60,39 @@
   return bytes;
 }
 
-std::string WriteResponse(const HttpResponse& response,
-                          bool keep_alive,
-                          bool for_head) {
-  const bool no_body = response.status == http_status::kNoContent ||
-                       response.status == http_status::kNotModified;
+bool HasBody(const HttpResponse& response, bool for_head) {
+  return !for_head && response.status != http_status::kNoContent &&
+         response.status != http_status::kNotModified;
+}
+
+std::string WriteResponseHead(const HttpResponse& response,
+                              bool keep_alive,
+                              bool for_head) {
   const auto reason = boost::beast::http::obsolete_reason(
       boost::beast::http::int_to_status(response.status));
   std::string bytes;
-  bytes.reserve(kHeadEstimate + response.body.size());
+  bytes.reserve(kHeadEstimate);
   bytes += "HTTP/1.1 " + std::to_string(response.status) + " ";
   bytes.append(reason.data(), reason.size());
   bytes += "\r\n";
   AppendHeaders(bytes, response.headers);
   // A length in the answer to HEAD would have to be the one that GET has,
   // which is not known here; none is allowed too (RFC 9110, section 8.6).
-  if (!no_body && !for_head) {
+  if (HasBody(response, for_head)) {
     Append(bytes, "Content-Length", std::to_string(response.body.size()));
   }
   if (!keep_alive) {
     Append(bytes, "Connection", "close");
   }
   bytes += "\r\n";
-  if (!no_body && !for_head) {
+  return bytes;
+}
+
+std::string WriteResponse(const HttpResponse& response,
+                          bool keep_alive,
+                          bool for_head) {
+  auto bytes = WriteResponseHead(response, keep_alive, for_head);
+  if (HasBody(response, for_head)) {
     bytes += response.body;
   }
   return bytes;
--- a/libraries/http/message_writer.h
+++ b/libraries/http/message_writer.h
@@ -18,6 +18,15 @@
                           bool keep_alive,
                           bool for_head = false);
 
+// The same without the body, for a writer that sends the body itself. It
+// follows only if HasBody().
+std::string WriteResponseHead(const HttpResponse& response,
+                              bool keep_alive,
+                              bool for_head = false);
+
+// False for responses that have no body on the wire.
+bool HasBody(const HttpResponse& response, bool for_head);
+
 }  // namespace agaterun::http
 
 #endif  // LIBRARIES_HTTP_MESSAGE_WRITER_H_
--- a/libraries/proxy/http_connection.cc
+++ b/libraries/proxy/http_connection.cc
@@ -136,7 +136,7 @@
     if (this->parser.ExpectsContinue() && !this->continue_sent &&
         this->pending.empty()) {
       this->continue_sent = true;
-      this->output += "HTTP/1.1 100 Continue\r\n\r\n";
+      this->output.push_back({.head = "HTTP/1.1 100 Continue\r\n\r\n"});
       this->Write();
     }
     break;
@@ -175,15 +175,15 @@
   HttpResponse response{.status = status, .body = message + "\n"};
   response.headers.push_back({"Content-Type", "text/plain"});
   this->pending.push_back(
-      {.keep_alive = false, .response = std::move(response)});
+      {.keep_alive = false,
+       .response = std::make_shared<const HttpResponse>(std::move(response))});
   this->Flush();
 }
 
-void HttpConnection::Respond(decision::CallId call,
-                             const HttpResponse& response) {
+void HttpConnection::Respond(decision::CallId call, decision::Answer response) {
   for (auto& entry : this->pending) {
     if (entry.call == call && !entry.response) {
-      entry.response = response;
+      entry.response = std::move(response);
       break;
     }
   }
@@ -202,8 +202,11 @@
                          !this->parser.HasStarted() && this->read_ahead.empty();
     const bool keep_alive =
         front.keep_alive && !(is_last && this->listener->IsClosing());
-    this->output +=
-        http::WriteResponse(*front.response, keep_alive, front.is_head);
+    this->output.push_back(
+        {.head = http::WriteResponseHead(*front.response, keep_alive,
+                                         front.is_head),
+         .body = http::HasBody(*front.response, front.is_head) ? front.response
+                                                               : nullptr});
     this->pending.pop_front();
     if (!keep_alive) {
       this->closes_after_output = true;
@@ -219,7 +222,14 @@
   }
   this->writing = std::exchange(this->output, {});
   this->SetDeadline(this->listener->GetOptions().write_timeout);
-  asio::async_write(this->socket, asio::buffer(this->writing),
+  std::vector<asio::const_buffer> buffers;
+  for (const auto& [head, body] : this->writing) {
+    buffers.push_back(asio::buffer(head));
+    if (body) {
+      buffers.push_back(asio::buffer(body->body));
+    }
+  }
+  asio::async_write(this->socket, buffers,
                     [self = this->shared_from_this()](
                         const std::error_code& error, std::size_t /*count*/) {
                       self->OnWritten(error);
--- a/libraries/proxy/http_connection.h
+++ b/libraries/proxy/http_connection.h
@@ -4,12 +4,13 @@
 #include <asio/ip/tcp.hpp>
 #include <deque>
 #include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "libraries/base/http_message.h"
 #include "libraries/base/time.h"
+#include "libraries/decision/messages.h"
 #include "libraries/decision/request_types.h"
 #include "libraries/http/request_parser.h"
 #include "libraries/proxy/http_listener.h"
@@ -25,7 +26,7 @@
   void Start();
   // Assigns the call id of the request that was parsed last.
   void AssignCall(decision::CallId call);
-  void Respond(decision::CallId call, const HttpResponse& response);
+  void Respond(decision::CallId call, decision::Answer response);
   void CloseWhenIdle();
   // Closes the connection if its deadline has passed; if a request has been
   // received in part, responds with 408 (Request Timeout) instead.
@@ -43,7 +44,13 @@
     decision::CallId call = 0;
     bool keep_alive = true;
     bool is_head = false;
-    std::optional<HttpResponse> response;
+    decision::Answer response;  // nullptr until it is ready.
+  };
+
+  // A response on its way to the caller. Its body is not copied.
+  struct Output {
+    std::string head;
+    decision::Answer body;  // nullptr if no body follows.
   };
 
   void WaitForInput();
@@ -69,8 +76,8 @@
   // Unparsed input, kept while the limit of pipelined requests is reached.
   std::string read_ahead;
   std::deque<Pending> pending;
-  std::string output;   // Queued for the next write.
-  std::string writing;  // Buffer of the write in progress.
+  std::vector<Output> output;   // Queued for the next write.
+  std::vector<Output> writing;  // Buffers of the write in progress.
   NodeAddress caller;
   Instant deadline{};
   bool waiting_for_input = false;
--- a/libraries/proxy/http_listener.cc
+++ b/libraries/proxy/http_listener.cc
@@ -124,8 +124,12 @@
   this->sink.OnRequest(call, std::move(request), caller);
 }
 
-void HttpListener::Respond(decision::CallId call,
-                           const HttpResponse& response) {
+void HttpListener::Respond(decision::CallId call, HttpResponse response) {
+  this->Respond(call,
+                std::make_shared<const HttpResponse>(std::move(response)));
+}
+
+void HttpListener::Respond(decision::CallId call, decision::Answer response) {
   const auto found = this->calls.find(call);
   if (found == this->calls.end()) {
     return;
@@ -133,7 +137,7 @@
   const auto connection = found->second.lock();
   this->calls.erase(found);
   if (connection) {
-    connection->Respond(call, response);
+    connection->Respond(call, std::move(response));
   }
 }
 
--- a/libraries/proxy/http_listener.h
+++ b/libraries/proxy/http_listener.h
@@ -13,6 +13,7 @@
 #include "libraries/base/http_message.h"
 #include "libraries/base/node_address.h"
 #include "libraries/base/time.h"
+#include "libraries/decision/messages.h"
 #include "libraries/http/message_limits.h"
 #include "libraries/proxy/request_sink.h"
 
@@ -55,7 +56,9 @@
                  Duration idle_timeout);
 
   // Sends the response to a call. Has no effect if the caller has disconnected.
-  void Respond(decision::CallId call, const HttpResponse& response);
+  // The response is kept until it is written.
+  void Respond(decision::CallId call, decision::Answer response);
+  void Respond(decision::CallId call, HttpResponse response);
 
   // Closes idle connections, and sends `Connection: close` with the last
   // response on each other one. New connections are still accepted.
--- a/libraries/proxy/proxy_node.cc
+++ b/libraries/proxy/proxy_node.cc
@@ -177,7 +177,7 @@
 }
 
 void ProxyNode::RespondToCaller(CallId call,
-                                const HttpResponse& response,
+                                const Answer& response,
                                 const HttpRequest& request,
                                 const calls::CallSummary& summary) {
   this->call_log.LogCall(this->Now(), this->RequestIdOf(request), summary);
--- a/libraries/proxy/proxy_node.h
+++ b/libraries/proxy/proxy_node.h
@@ -117,7 +117,7 @@
       calls::VisitNumber parent,
       const std::vector<decision::ServiceCost>& costs) override;
   void RespondToCaller(decision::CallId call,
-                       const HttpResponse& response,
+                       const decision::Answer& response,
                        const HttpRequest& request,
                        const calls::CallSummary& summary) override;
 
--- a/tests/calls/call_origin_test.cc
+++ b/tests/calls/call_origin_test.cc
@@ -41,12 +41,12 @@
     this->nested_costs = costs;
   }
   void RespondToCaller(decision::CallId call,
-                       const HttpResponse& response,
+                       const decision::Answer& response,
                        const HttpRequest& /*request*/,
                        const CallSummary& summary) override {
     BOOST_TEST(!this->responses.contains(call),
                "second response to the same call");
-    this->responses[call] = response;
+    this->responses[call] = *response;
     this->call_summaries[call] = summary;
   }
 
--- a/tests/proxy/http_listener_test.cc
+++ b/tests/proxy/http_listener_test.cc
@@ -197,6 +197,38 @@
       this->Until([&] { return caller.received.size() > kResponseBytes; }));
 }
 
+// Failure: each connection copied the body of its response twice, so that a
+// burst of long responses took three times its memory.
+BOOST_FIXTURE_TEST_CASE(BodyIsNotCopiedAndNotHeldAfterItIsWritten, Fixture) {
+  const auto answer = std::make_shared<const HttpResponse>(
+      HttpResponse{.status = 200, .body = std::string(16 * 1024 * 1024, 'x')});
+  RawCaller caller(this->io, this->address);
+  caller.Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  BOOST_TEST(this->Until([&] { return this->sink.requests.size() == 1; }));
+  this->listener.Respond(1, answer);
+  BOOST_TEST(answer.use_count() > 1);
+  BOOST_TEST(this->Until([&] { return answer.use_count() == 1; }));
+  const auto body_bytes = answer->body.size();
+  BOOST_TEST(this->Until([&] { return caller.received.size() > body_bytes; }));
+  BOOST_TEST((caller.received.substr(caller.received.find("\r\n\r\n") + 4) ==
+              answer->body));
+}
+
+// A response on its way is given back as soon as its caller has left.
+BOOST_FIXTURE_TEST_CASE(BodyIsNotHeldForCallerThatHasLeft, Fixture) {
+  const auto answer = std::make_shared<const HttpResponse>(
+      HttpResponse{.status = 200, .body = std::string(16 * 1024 * 1024, 'x')});
+  RawCaller caller(this->io, this->address);
+  caller.Send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  BOOST_TEST(this->Until([&] { return this->sink.requests.size() == 1; }));
+  caller.PauseReading();
+  this->listener.Respond(1, answer);
+  this->Until([&] { return !caller.received.empty(); });
+  BOOST_TEST(answer.use_count() > 1);
+  caller.Close();
+  BOOST_TEST(this->Until([&] { return answer.use_count() == 1; }));
+}
+
 // The opposite: neither an idle connection nor one whose caller has left holds
 // the process.
 BOOST_FIXTURE_TEST_CASE(IdleAndClosedConnectionsAreNotUnfinished, Fixture) {
