Proxy: One bound for all responses that a process holds

What callers saw: a faulty backend server sent bytes that were no response, without end. The node kept up to 64 MiB of each, so that a number of them took the process over the memory of its machine, and the requests of all other callers ended with it.

Cause: each response had a bound, their sum had none. A body without a length also doubled its memory as it grew, holding two copies for a while, and freed blocks left gaps in the heap that kept it at twice its use.

Change: admission::ResponseMemory counts what responses take from their first byte until the caller has read them, on all connections, those from other nodes too. When it is short, the response that is being received and is expected to become the longest is given up, if it will be four times as long as the one that needs room; one without a length counts as endless. Responses of similar length take nothing from each other, so that some end under lasting overload. A twelfth is kept for short ones. What is given up is of unknown outcome: 502 with the reason limit-reached, never a part. A long body without a length reserves its limit at once and grows without copies; blocks from 256 KiB on are mapped by themselves.

--- a/libraries/base/settings.cc
+++ b/libraries/base/settings.cc
@@ -15,6 +15,8 @@
 constexpr int kMostConnections = 65536;
 constexpr int kMostBodyKilobytes = 64 * 1024;
 constexpr std::size_t kBytesPerKilobyte = 1024;
+constexpr double kMostMemoryMegabytes = 1e6;
+constexpr double kBytesPerMegabyte = 1e6;
 constexpr std::size_t kMostSeeds = 16;
 constexpr double kMostExtraRepeats = 1e6;
 constexpr double kMostQuotaOverage = 10;
@@ -87,6 +89,11 @@
     this->settings.threads =
         static_cast<int>(reader.Integer("threads", 1, kMostThreads)
                              .value_or(this->settings.threads));
+    if (const auto size = reader.Number("memory_mb", 1, kMostMemoryMegabytes);
+        size) {
+      this->settings.memory_bytes =
+          static_cast<std::size_t>(*size * kBytesPerMegabyte);
+    }
     if (const auto level =
             reader.OneOf("log_level", {"debug", "info", "warning", "error"});
         level) {
--- a/libraries/base/settings.h
+++ b/libraries/base/settings.h
@@ -39,6 +39,9 @@
   NodeAddress node;                // `address`: for other nodes, TCP and UDP.
   std::vector<NodeAddress> seeds;  // `seeds`: nodes to ask first; optional.
   int threads = 2;
+  // `memory_mb`: what the process may take, in millions of bytes; optional.
+  // With `interface = store`, it bounds the responses that are held.
+  std::optional<std::size_t> memory_bytes;
   LogLevel log_level = LogLevel::kInfo;
 
   // [caller]
--- a/libraries/calls/visit_gate.h
+++ b/libraries/calls/visit_gate.h
@@ -32,6 +32,7 @@
   kResponded,
   kNotSent,  // No byte of the request was written.
   kBroken,   // It may have run.
+  kGivenUp,  // The memory for responses was short. It has run.
 };
 
 // Receives the actions of the gate.
@@ -173,6 +174,10 @@
                       std::vector<decision::ServiceCost> costs = {});
   void RefuseVisit(Instant now, VisitNumber number, decision::Reason reason);
   void HandleResponse(Instant now, VisitNumber number, decision::Answer answer);
+  // The request may have run, and nothing of its response is passed on.
+  void EndWithoutResponse(Instant now,
+                          const Visit& visit,
+                          decision::Reason reason);
   void EndVisit(VisitNumber number);
   std::vector<decision::ServiceCost> TotalCosts(Instant now,
                                                 const Visit& visit) const;
--- a/libraries/calls/visit_gate_responses.cc
+++ b/libraries/calls/visit_gate_responses.cc
@@ -103,6 +103,16 @@
   }
 }
 
+void VisitGate::EndWithoutResponse(Instant now,
+                                   const Visit& visit,
+                                   Reason reason) {
+  this->RecordResult(now, true);
+  this->queue.Ended(now - visit.started);
+  this->output.ReportVisit(LogEvent::kVisitBroken, *visit.http_request, reason,
+                           now - visit.started);
+  this->SendVisitReply(now, visit, Outcome::kUnknown, reason, true, nullptr);
+}
+
 void VisitGate::OnExchangeEnded(Instant now,
                                 VisitNumber number,
                                 ExchangeResult end,
@@ -125,12 +135,11 @@
       break;
     case ExchangeResult::kBroken:
       this->crashes.RecordBrokenExchange(now, visit.request.fingerprint);
-      this->RecordResult(now, true);
-      this->queue.Ended(now - visit.started);
-      this->output.ReportVisit(LogEvent::kVisitBroken, *visit.http_request,
-                               Reason::kBackendFailed, now - visit.started);
-      this->SendVisitReply(now, visit, Outcome::kUnknown,
-                           Reason::kBackendFailed, true, nullptr);
+      this->EndWithoutResponse(now, visit, Reason::kBackendFailed);
+      break;
+    case ExchangeResult::kGivenUp:
+      // Counted as a failure: other endpoints may have the memory.
+      this->EndWithoutResponse(now, visit, Reason::kLimitReached);
       break;
   }
   this->EndVisit(number);
--- a/libraries/http/message_reader.h
+++ b/libraries/http/message_reader.h
@@ -1,6 +1,7 @@
 #ifndef LIBRARIES_HTTP_MESSAGE_READER_H_
 #define LIBRARIES_HTTP_MESSAGE_READER_H_
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -25,6 +26,10 @@
   // that it is asked again with that much once it saw a part.
   static constexpr std::size_t kLastChunkBytes = 5;
 
+  // Bodies without a length double their memory up to this size.
+  static constexpr std::size_t kMaxDoubledBytes = 256 * 1024;
+  static constexpr std::size_t kLongBodyGrowthBytes = 64 * 1024 * 1024;
+
   using Parser =
       boost::beast::http::parser<kIsRequest, boost::beast::http::string_body>;
 
@@ -69,6 +74,17 @@
 
   // Head fields as they came, in order; fields of trailers are left out.
   HttpHeaders& Headers() { return this->headers; }
+  // Bytes of the body so far.
+  std::size_t BodyBytes() const {
+    return this->parser ? this->parser->get().body().size() : 0;
+  }
+  // Length of the body that the head states.
+  std::optional<std::size_t> StatedLength() const {
+    if (!this->parser || !this->parser->content_length()) {
+      return std::nullopt;
+    }
+    return static_cast<std::size_t>(*this->parser->content_length());
+  }
   Parser& Message() { return *this->parser; }
 
  private:
@@ -98,11 +114,25 @@
     return used;
   }
 
+  // Growing a string copies it and for a while takes the memory of both copies.
+  // So a long body without a length gets all that it may take at once: memory
+  // is only used where bytes are written.
+  void MakeRoom(std::size_t bytes) {
+    auto& body = this->parser->get().body();
+    const auto needed = body.size() + bytes;
+    if (!this->StatedLength() && needed > kMaxDoubledBytes &&
+        needed > body.capacity()) {
+      body.reserve(
+          std::min(this->limits.body_bytes, needed + kLongBodyGrowthBytes));
+    }
+  }
+
   // Takes bytes of the body and returns how many were used.
   Result<std::size_t> FeedBody(std::string_view bytes) {
     if (this->parser->is_done()) {
       return 0;
     }
+    this->MakeRoom(this->pending.size() + bytes.size());
     // The head of a chunk may come in pieces, and the parser wants it whole.
     if (this->pending.empty()) {
       const auto used = this->Put(bytes);
--- a/libraries/http/response_parser.cc
+++ b/libraries/http/response_parser.cc
@@ -129,6 +129,14 @@
   return this->state && this->state->reader.HasStarted();
 }
 
+std::size_t ResponseParser::BodyBytes() const {
+  return this->state ? this->state->reader.BodyBytes() : 0;
+}
+
+std::optional<std::size_t> ResponseParser::StatedLength() const {
+  return this->state ? this->state->reader.StatedLength() : std::nullopt;
+}
+
 void ResponseParser::FeedEnd() {
   if (this->state) {
     this->state->reader.FeedEnd();
--- a/libraries/http/response_parser.h
+++ b/libraries/http/response_parser.h
@@ -36,6 +36,12 @@
   bool IsDone() const;
   bool HasStarted() const;
 
+  // Bytes of the body so far.
+  std::size_t BodyBytes() const;
+  // Length of the body that the response states. Unset before its head has been
+  // read.
+  std::optional<std::size_t> StatedLength() const;
+
   // The connection ended in an orderly way, which is the end of a response
   // without a length.
   void FeedEnd();
--- a/libraries/proxy/crash_metrics.cc
+++ b/libraries/proxy/crash_metrics.cc
@@ -2,18 +2,18 @@
 
 #include <sstream>
 
+#include "libraries/proxy/metric_text.h"
+
 namespace agaterun::proxy {
 
 std::string CrashMetrics(const retries::CrashHistory::Counts& counts) {
   std::ostringstream out;
-  const auto write = [&](const char* name, const char* type, auto value) {
-    out << "# TYPE " << name << " " << type << "\n"
-        << name << " " << value << "\n";
-  };
-  write("agaterun_suspected_requests", "gauge", counts.suspected);
-  write("agaterun_quarantined_requests", "gauge", counts.quarantined);
-  write("agaterun_quarantines_total", "counter", counts.quarantines);
-  write("agaterun_cleared_suspects_total", "counter", counts.cleared);
+  WriteMetric(out, "agaterun_suspected_requests", "gauge", counts.suspected);
+  WriteMetric(out, "agaterun_quarantined_requests", "gauge",
+              counts.quarantined);
+  WriteMetric(out, "agaterun_quarantines_total", "counter", counts.quarantines);
+  WriteMetric(out, "agaterun_cleared_suspects_total", "counter",
+              counts.cleared);
   return out.str();
 }
 
--- a/libraries/proxy/endpoint_connection.cc
+++ b/libraries/proxy/endpoint_connection.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <asio/buffer.hpp>
+#include <asio/post.hpp>
 #include <utility>
 
 #include "libraries/base/clock.h"
@@ -34,12 +35,15 @@
 
 }  // namespace
 
-EndpointConnection::EndpointConnection(asio::io_context& io,
-                                       EndpointConnectionOwner& owner,
-                                       std::string request_id_header)
+EndpointConnection::EndpointConnection(
+    asio::io_context& io,
+    EndpointConnectionOwner& owner,
+    std::string request_id_header,
+    std::shared_ptr<admission::ResponseMemory> memory)
     : socket(io),
       owner(owner),
       request_id_header(std::move(request_id_header)),
+      memory(std::move(memory)),
       parser(MakeParser()) {}
 
 void EndpointConnection::Connect(NodeAddress address) {
@@ -107,14 +111,14 @@
   this->socket.async_wait(
       tcp::socket::wait_write,
       [self = this->shared_from_this()](const std::error_code& error) {
-        if (!error && self->state != State::kClosed) {
+        if (!error && self->IsOpen()) {
           self->Write();
         }
       });
 }
 
 void EndpointConnection::Read() {
-  if (this->reading || this->state == State::kClosed) {
+  if (this->reading || !this->IsOpen()) {
     return;
   }
   this->reading = true;
@@ -127,7 +131,7 @@
 }
 
 void EndpointConnection::OnReadable(const std::error_code& error) {
-  if (this->state == State::kClosed) {
+  if (!this->IsOpen()) {
     return;
   }
   std::error_code read_error = error;
@@ -159,6 +163,9 @@
       return;
     }
     bytes.remove_prefix(*used);
+    if (!this->ReserveMemory()) {
+      return;
+    }
     if (!this->parser.IsDone()) {
       break;
     }
@@ -169,6 +176,45 @@
   }
 }
 
+bool EndpointConnection::ReserveMemory() {
+  const auto bytes = this->parser.BodyBytes();
+  if (bytes == 0) {
+    return true;
+  }
+  if (!this->reservation) {
+    this->reservation =
+        std::make_unique<admission::ResponseMemory::Reservation>(this->memory);
+    this->reservation->StartReceiving(this->parser.StatedLength(),
+                                      [this] { this->GiveUp(); });
+  }
+  if (!this->reservation->Extend(bytes)) {
+    this->GiveUp();
+    return false;
+  }
+  return true;
+}
+
+void EndpointConnection::GiveUp() {
+  this->Close();
+  this->state = State::kGivenUp;
+  this->parser = MakeParser();
+  // The memory may have been taken by another response, whose connection is
+  // still reading. The owner may close that one.
+  asio::post(this->socket.get_executor(), [self = this->shared_from_this()] {
+    if (self->state == State::kGivenUp) {
+      self->state = State::kClosed;
+      self->owner.OnGivenUp(self);
+    }
+  });
+}
+
+decision::Answer EndpointConnection::TakeResponse(bool& keep_alive) {
+  auto response =
+      std::make_shared<const HttpResponse>(this->parser.Take(keep_alive));
+  return admission::HoldResponse(std::move(response),
+                                 std::move(this->reservation));
+}
+
 // A late response to an earlier request may arrive in place of the response to
 // the current one, so the request id is compared. A response without an id is
 // accepted only if its status is not a success.
@@ -182,15 +228,15 @@
 
 void EndpointConnection::HandleResponse(bool trailing_bytes) {
   bool keep_alive = false;
-  auto response = this->parser.Take(keep_alive);
+  auto response = this->TakeResponse(keep_alive);
   if (this->has_received_response &&
-      FindHeader(response.headers, this->request_id_header) == nullptr) {
+      FindHeader(response->headers, this->request_id_header) == nullptr) {
     // It may repeat the response to an earlier request. A repeated refusal
     // would say of a running request that it did not run.
     this->OnEnd(/*orderly=*/false);
     return;
   }
-  if (!this->MatchesRequest(response)) {
+  if (!this->MatchesRequest(*response)) {
     this->received_mismatched_response = true;
     if (!keep_alive) {
       this->OnEnd(/*orderly=*/false);
@@ -235,6 +281,7 @@
 
 void EndpointConnection::Close() {
   this->state = State::kClosed;
+  this->reservation.reset();
   std::error_code ignored;
   this->socket.close(ignored);
 }
--- a/libraries/proxy/endpoint_connection.h
+++ b/libraries/proxy/endpoint_connection.h
@@ -8,9 +8,11 @@
 #include <string>
 #include <string_view>
 
+#include "libraries/admission/response_memory.h"
 #include "libraries/base/http_message.h"
 #include "libraries/base/node_address.h"
 #include "libraries/base/time.h"
+#include "libraries/decision/messages.h"
 #include "libraries/http/response_parser.h"
 
 namespace agaterun::proxy {
@@ -27,8 +29,12 @@
   // The request got its response. If `reusable`, the connection stays open for
   // another request; otherwise it is closed.
   virtual void OnResponse(const std::shared_ptr<EndpointConnection>& connection,
-                          HttpResponse response,
+                          decision::Answer response,
                           bool reusable) = 0;
+  // The response was given up because the memory for responses was short. The
+  // connection is closed.
+  virtual void OnGivenUp(
+      const std::shared_ptr<EndpointConnection>& connection) = 0;
   // The connection failed before the response was complete.
   virtual void OnBroken(
       const std::shared_ptr<EndpointConnection>& connection) = 0;
@@ -44,12 +50,14 @@
  public:
   EndpointConnection(asio::io_context& io,
                      EndpointConnectionOwner& owner,
-                     std::string request_id_header);
+                     std::string request_id_header,
+                     std::shared_ptr<admission::ResponseMemory> memory);
 
   // Calls OnConnectEnded on completion, unless Close is called first.
   void Connect(NodeAddress address);
 
-  // Calls OnResponse or OnBroken on completion, unless Close is called first.
+  // Calls OnResponse, OnGivenUp or OnBroken on completion, unless Close is
+  // called first.
   // A response is accepted only if it echoes `request_id`, or if it is an error
   // response without an id and the first one on the connection.
   void Send(std::string bytes, std::string request_id, bool is_head);
@@ -63,14 +71,24 @@
   Duration UsableIdleTime() const;
 
  private:
-  enum class State { kConnecting, kIdle, kBusy, kClosed };
+  enum class State { kConnecting, kIdle, kBusy, kGivenUp, kClosed };
 
   // Writes what the socket takes of the request, and waits to write the rest.
   void Write();
   void WaitForOutput();
+  bool IsOpen() const {
+    return this->state != State::kClosed && this->state != State::kGivenUp;
+  }
   void Read();
   void OnReadable(const std::error_code& error);
   void OnBytes(std::string_view bytes);
+  // Reserves memory for what the response holds. Returns false if the response
+  // had to be given up.
+  bool ReserveMemory();
+  // Returns the memory of the response and closes the socket at once, and
+  // notifies the owner asynchronously.
+  void GiveUp();
+  decision::Answer TakeResponse(bool& keep_alive);
   void HandleResponse(bool trailing_bytes);
   void OnEnd(bool orderly);
   bool MatchesRequest(const HttpResponse& response) const;
@@ -78,6 +96,9 @@
   asio::ip::tcp::socket socket;
   EndpointConnectionOwner& owner;
   std::string request_id_header;
+  std::shared_ptr<admission::ResponseMemory> memory;
+  // Of the response that is being received; nullptr before its body begins.
+  std::unique_ptr<admission::ResponseMemory::Reservation> reservation;
   http::ResponseParser parser;
   std::string request;
   std::size_t request_written = 0;  // Bytes of it.
--- a/libraries/proxy/endpoint_pool.cc
+++ b/libraries/proxy/endpoint_pool.cc
@@ -73,7 +73,8 @@
 
 void EndpointPool::Open(Exchange exchange) {
   auto connection = std::make_shared<EndpointConnection>(
-      this->io, *this, this->options.request_id_header);
+      this->io, *this, this->options.request_id_header,
+      this->options.response_memory);
   ++this->connections_opened;
   if (exchange.visit != 0) {
     this->by_visit[exchange.visit] = connection;
@@ -119,23 +120,32 @@
 }
 
 void EndpointPool::OnResponse(const Connection& connection,
-                              HttpResponse response,
+                              decision::Answer response,
                               bool reusable) {
   this->last_activity = Now();
   this->last_break.reset();
-  const auto visit = this->busy.extract(connection.get()).mapped();
-  this->by_visit.erase(visit);
+  const auto visit = this->RemoveBusy(connection);
   if (reusable) {
     this->idle.push_back(connection);
   }
-  this->observer.OnExchangeEnded(
-      visit, ExchangeResult::kResponded,
-      std::make_shared<const HttpResponse>(std::move(response)));
+  this->observer.OnExchangeEnded(visit, ExchangeResult::kResponded,
+                                 std::move(response));
 }
 
-void EndpointPool::OnBroken(const Connection& connection) {
+calls::VisitNumber EndpointPool::RemoveBusy(const Connection& connection) {
   const auto visit = this->busy.extract(connection.get()).mapped();
   this->by_visit.erase(visit);
+  return visit;
+}
+
+void EndpointPool::OnGivenUp(const Connection& connection) {
+  this->last_activity = Now();
+  this->observer.OnExchangeEnded(this->RemoveBusy(connection),
+                                 ExchangeResult::kGivenUp, nullptr);
+}
+
+void EndpointPool::OnBroken(const Connection& connection) {
+  const auto visit = this->RemoveBusy(connection);
   const auto now = Now();
   this->last_break = now;
   this->observer.OnExchangeEnded(visit, ExchangeResult::kBroken, nullptr);
--- a/libraries/proxy/endpoint_pool.h
+++ b/libraries/proxy/endpoint_pool.h
@@ -36,6 +36,9 @@
   struct Options {
     NodeAddress backend_server;
     std::string request_id_header;
+    // Shared by all that holds responses in this process.
+    std::shared_ptr<admission::ResponseMemory> response_memory =
+        std::make_shared<admission::ResponseMemory>();
     Duration connect_timeout = 300ms;
     // Interval between connection probes while the backend server is
     // unreachable or unresponsive.
@@ -78,8 +81,10 @@
   void OnConnectEnded(const std::shared_ptr<EndpointConnection>& connection,
                       bool connected) override;
   void OnResponse(const std::shared_ptr<EndpointConnection>& connection,
-                  HttpResponse response,
+                  decision::Answer response,
                   bool reusable) override;
+  void OnGivenUp(
+      const std::shared_ptr<EndpointConnection>& connection) override;
   void OnBroken(const std::shared_ptr<EndpointConnection>& connection) override;
   void OnIdleEnded(
       const std::shared_ptr<EndpointConnection>& connection) override;
@@ -96,6 +101,8 @@
   Connection AcquireIdle(bool idempotent);
   void Open(Exchange exchange);
   void SendOn(const Connection& connection, Exchange exchange);
+  // Removes the connection and its visit from the exchanges in flight.
+  calls::VisitNumber RemoveBusy(const Connection& connection);
   void SetReachable(bool reachable);
   void Sweep();
   // True if an exchange broke and no response has arrived since.
--- a/libraries/proxy/metric_text.h
+++ b/libraries/proxy/metric_text.h
@@ -12,6 +12,16 @@
 // Prometheus text format requires.
 std::string QuotedLabel(std::string_view value);
 
+// Writes one metric without labels in Prometheus text format.
+template <class Value>
+void WriteMetric(std::ostream& out,
+                 std::string_view name,
+                 std::string_view type,
+                 Value value) {
+  out << "# TYPE " << name << " " << type << "\n"
+      << name << " " << value << "\n";
+}
+
 // Writes one metric in Prometheus text format: a line for each row, labelled
 // with the row's member `label`.
 template <class Row, class Value>
--- a/libraries/proxy/proxy_node.cc
+++ b/libraries/proxy/proxy_node.cc
@@ -5,6 +5,7 @@
 
 #include "libraries/base/log.h"
 #include "libraries/http/message_writer.h"
+#include "libraries/proxy/reply_memory.h"
 
 namespace agaterun::proxy {
 
@@ -24,6 +25,20 @@
 // Connect timeout for connections to other nodes.
 constexpr Duration kLinkTimeout = 1s;
 
+// Part of the memory of the process that responses may take. The rest is for
+// requests, links and the state of the fleet.
+constexpr double kResponseMemoryRatio = 0.6;
+
+admission::ResponseMemory::Options ResponseMemoryOptions(
+    const NodeSettings& settings) {
+  if (!settings.memory_bytes) {
+    return {};
+  }
+  return {
+      .max_bytes = static_cast<std::size_t>(
+          static_cast<double>(*settings.memory_bytes) * kResponseMemoryRatio)};
+}
+
 }  // namespace
 
 ProxyNode::ProxyNode(asio::io_context& io,
@@ -56,6 +71,8 @@
              this->fleet,
              this->random,
              *this),
+      response_memory(std::make_shared<admission::ResponseMemory>(
+          ResponseMemoryOptions(this->settings))),
       heartbeat_plan(this->settings.node, this->random),
       directory(this->settings.node),
       peer_account_use(accounts::kAccountReports),
@@ -94,7 +111,8 @@
   this->pool = std::make_unique<EndpointPool>(
       this->io,
       EndpointPool::Options{.backend_server = *this->settings.backend_server,
-                            .request_id_header = this->dialect.request_id},
+                            .request_id_header = this->dialect.request_id,
+                            .response_memory = this->response_memory},
       *this);
   this->callers = std::make_unique<HttpListener>(
       this->io,
@@ -228,6 +246,7 @@
 }
 
 void ProxyNode::OnReply(VisitReply reply, Answer answer) {
+  ReserveReplyMemory(this->response_memory, reply, answer);
   this->origin.OnReply(this->Now(), reply, answer);
   this->ArmWakeTimer();
 }
--- a/libraries/proxy/proxy_node.h
+++ b/libraries/proxy/proxy_node.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "libraries/admission/response_memory.h"
 #include "libraries/base/clock.h"
 #include "libraries/base/random.h"
 #include "libraries/base/settings.h"
@@ -221,6 +222,7 @@
   retries::CrashHistory crashes;
   calls::VisitGate gate;
   calls::CallOrigin origin;
+  std::shared_ptr<admission::ResponseMemory> response_memory;
   CallLog call_log;
   membership::StateGossip gossip;
   membership::HeartbeatPlan heartbeat_plan;
--- a/libraries/proxy/proxy_node_views.cc
+++ b/libraries/proxy/proxy_node_views.cc
@@ -2,6 +2,7 @@
 #include "libraries/proxy/crash_metrics.h"
 #include "libraries/proxy/link_metrics.h"
 #include "libraries/proxy/proxy_node.h"
+#include "libraries/proxy/response_metrics.h"
 #include "libraries/proxy/retry_metrics.h"
 
 // The part of ProxyNode that answers probes and shows metrics and state.
@@ -29,6 +30,7 @@
   return this->call_log.Metrics() +
          RetryMetrics(retries.Uses(this->Now()), retries.FleetSize()) +
          CrashMetrics(this->crashes.Count(this->Now())) +
+         ResponseMetrics(this->response_memory->Count()) +
          AccountMetrics(
              this->origin.Quotas().HighestUse(this->Now(), kShownAccounts)) +
          LinkMetrics(this->links->Sent(
--- a/services/agaterund/store_mode.cc
+++ b/services/agaterund/store_mode.cc
@@ -1,5 +1,7 @@
 #include "services/agaterund/store_mode.h"
 
+#include <malloc.h>
+
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
@@ -21,6 +23,11 @@
 constexpr int kSuccess = 0;
 constexpr int kFailure = 1;
 
+// Larger blocks are mapped by themselves and returned to the system when they
+// are freed. From the heap, bodies of responses would leave gaps that keep the
+// process at several times what it holds.
+constexpr int kMinMappedBytes = 256 * 1024;
+
 // The settings may change without a signal.
 constexpr Duration kSettingsInterval = 1s;
 
@@ -83,6 +90,7 @@
 int ServeWithStore(const NodeSettings& settings,
                    const std::string& settings_file) {
   StartLogging(settings.host, settings.log_level);
+  mallopt(M_MMAP_THRESHOLD, kMinMappedBytes);
   asio::io_context io(1);
   const auto platform = settings.platform;
   auto node = proxy::ProxyNode::Create(
--- a/tests/base/settings_test.cc
+++ b/tests/base/settings_test.cc
@@ -207,6 +207,26 @@
   BOOST_TEST(read->failure_domain_count == 3U);
 }
 
+BOOST_AUTO_TEST_CASE(ReadsMemory) {
+  const auto unknown = ParseSettings(kStore);
+  BOOST_TEST_REQUIRE(unknown.has_value());
+  BOOST_TEST(!unknown->memory_bytes.has_value());
+  const auto with_memory = [](const std::string& value) {
+    std::string text = kStore;
+    const std::string line = "failure_domain = a\n";
+    text.insert(text.find(line) + line.size(), "memory_mb = " + value + "\n");
+    return ParseSettings(text);
+  };
+  const auto read = with_memory("260");
+  BOOST_TEST_REQUIRE(read.has_value());
+  BOOST_TEST(read->memory_bytes.value_or(0) == 260'000'000U);
+  for (const auto* value : {"0", "-1", "2000000", "much"}) {
+    const auto refused = with_memory(value);
+    BOOST_TEST_REQUIRE(!refused.has_value());
+    BOOST_TEST(refused.error().front().key == "memory_mb");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ReadsQuotasAndKeys) {
   const auto defaults = ParseSettings(kStore);
   BOOST_TEST_REQUIRE(defaults.has_value());
--- a/tests/calls/visit_gate_test.cc
+++ b/tests/calls/visit_gate_test.cc
@@ -188,6 +188,7 @@
        true},
       {ExchangeResult::kNotSent, nullptr, Outcome::kNotRun, false},
       {ExchangeResult::kBroken, nullptr, Outcome::kUnknown, true},
+      {ExchangeResult::kGivenUp, nullptr, Outcome::kUnknown, true},
   };
   decision::CallId call = 1;
   for (const auto& row : rows) {
@@ -202,6 +203,20 @@
   BOOST_TEST(this->output.other_instances == 1);
 }
 
+// Failure: requests whose responses break off are suspected of a crash that
+// follows. A response that found no memory says nothing of the kind.
+BOOST_FIXTURE_TEST_CASE(ResponseGivenUpMakesNoSuspect, Fixture) {
+  this->SubmitVisit(1);
+  this->EndOldestExchange(ExchangeResult::kGivenUp, nullptr);
+  BOOST_TEST((this->ReplyReason(1) == Reason::kLimitReached));
+  BOOST_TEST(this->crashes.RecordLocalCrash(this->now, 1).empty());
+  this->now += 1s;
+  this->SubmitVisit(2);
+  this->EndOldestExchange(ExchangeResult::kBroken, nullptr);
+  BOOST_TEST((this->ReplyReason(2) == Reason::kBackendFailed));
+  BOOST_TEST(this->crashes.RecordLocalCrash(this->now, 2).size() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(OtherInstanceAtAddressClosesGate, Fixture) {
   this->SubmitVisit(1);
   this->EndOldestExchange(ExchangeResult::kResponded,
