Platform: The reader of tickets ends responses that have no end

What operators would see: with interface = tickets, a service of the platform that sends a head, the size of a chunk or interim responses without end is read until it closes. The head is kept in memory, and the reader makes no other call. Found while looking for other readers of responses.

Cause: PlatformReader used httplib's client. It bounds the body that it hands out, but neither the line that it reads nor the number of lines, and its time limit is for each read, not for the call.

Change: PlatformReader uses the connection of the store's reader. That moves from platform/store_connection to libraries/platform, where it is ServiceConnection, since nothing in it is of one platform; its limit and whether the connection's end may complete a response are options now. The reader of the store keeps both as they were. Errors say kLimitReached for a response that is too long.

Evidence: ResponseWithoutEndIsNotReadOn sends nine such responses. On the code before, five fail with check !hostile.HasSentEnough() has failed (bytes without a head, a line of a head, lines of a head, the size of a chunk, interim responses): the reader took 64 MiB and more. Now all pass, and so do the 9 tests of the reader, the 41 of the store's and the whole paths.

--- a/libraries/platform/platform_reader.cc
+++ b/libraries/platform/platform_reader.cc
@@ -1,8 +1,8 @@
 #include "libraries/platform/platform_reader.h"
 
-#include <httplib.h>
-
 #include <algorithm>
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
 #include <atomic>
 #include <condition_variable>
 #include <mutex>
@@ -13,6 +13,7 @@
 #include "libraries/base/http_status.h"
 #include "libraries/base/log.h"
 #include "libraries/platform/platform_responses.h"
+#include "libraries/platform/service_connection.h"
 
 namespace agaterun::platform {
 
@@ -20,8 +21,6 @@
 
 // A value takes more bytes in JSON than it has, and a page holds several.
 constexpr std::size_t kLargestBodyBytes = 4 * kLargestValueBytes;
-// How often the destructor tries to break a call that is about to start.
-constexpr Duration kStopInterval = 20ms;
 
 std::int64_t ToWholeMilliseconds(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
@@ -35,11 +34,12 @@
   Implementation(Options options, PlatformObserver& observer)
       : options(options),
         observer(observer),
-        client(options.platform.IpToString(), options.platform.port) {
-    this->client.set_connection_timeout(
-        std::chrono::duration_cast<std::chrono::microseconds>(
-            options.connect_timeout));
-    this->client.set_keep_alive(true);
+        connection(ServiceConnection::Create(
+            this->io,
+            {.service = options.platform,
+             .max_response_bytes = kLargestBodyBytes,
+             .without_length =
+                 http::ResponseParser::WithoutLength::kEndsWithConnection})) {
     this->thread = std::thread([this] { this->Run(); });
   }
 
@@ -49,12 +49,8 @@
       this->stopping = true;
     }
     this->changed.notify_all();
-    // A stop just before the call opens its socket is lost on the client, so
-    // it is repeated until the thread is through.
-    while (!this->ended) {
-      this->client.stop();
-      std::this_thread::sleep_for(kStopInterval);
-    }
+    // Ends the wait of a call.
+    asio::post(this->io, [] {});
     this->thread.join();
   }
 
@@ -84,7 +80,6 @@
       this->NoteReached(done);
       this->observer.OnPlatformReadEnded(done.has_value(), last_number);
     }
-    this->ended = true;
   }
 
   std::optional<Request> NextRequest() {
@@ -163,36 +158,38 @@
   // One HTTP call. `wait` is how long the platform may hold it.
   Result<std::string> Get(const std::string& path, Duration wait) {
     ++this->calls;
-    this->client.set_read_timeout(
-        std::chrono::duration_cast<std::chrono::microseconds>(
-            this->options.read_timeout + wait));
-    std::string body;
-    bool too_large = false;
-    const auto response =
-        this->client.Get(path, [&](const char* data, std::size_t size) {
-          too_large = body.size() + size > kLargestBodyBytes;
-          if (!too_large) {
-            body.append(data, size);
-          }
-          return !too_large;
-        });
-    if (too_large) {
+    auto response = this->Call(path, wait);
+    if (!response && response.error().kind == ErrorKind::kLimitReached) {
       return MakeError(ErrorKind::kLimitReached,
-                       "the answer is larger than " +
-                           std::to_string(kLargestBodyBytes) +
-                           " bytes; issue smaller tickets");
+                       response.error().message + "; issue smaller tickets");
     }
     if (!response) {
-      return MakeError(ErrorKind::kConnectionFailed,
-                       httplib::to_string(response.error()) +
-                           "; look at the platform's service");
+      return MakeError(
+          ErrorKind::kConnectionFailed,
+          response.error().message + "; look at the platform's service");
     }
     if (response->status != http_status::kOk) {
       return MakeError(ErrorKind::kConnectionFailed,
                        "status " + std::to_string(response->status) +
                            "; look at the platform's service");
     }
-    return body;
+    return std::move(response->body);
+  }
+
+  Result<HttpResponse> Call(const std::string& path, Duration wait) {
+    std::optional<Result<HttpResponse>> result;
+    this->connection->Get(
+        path, this->options.connect_timeout + this->options.read_timeout + wait,
+        [&](Result<HttpResponse> response) { result = std::move(response); });
+    while (!result && !this->stopping) {
+      this->io.restart();
+      this->io.run_one();
+    }
+    if (!result) {
+      this->connection->Cancel();
+      return MakeError(ErrorKind::kConnectionFailed, "the node stops");
+    }
+    return *std::move(result);
   }
 
   // Tells a change once, since an outage can last for thousands of reads.
@@ -212,14 +209,14 @@
 
   const Options options;
   PlatformObserver& observer;
-  httplib::Client client;
+  asio::io_context io{1};  // Of the thread, while it makes a call.
+  const std::shared_ptr<ServiceConnection> connection;
   std::optional<bool> reached;  // Nothing was read yet.
 
   std::mutex mutex;
   std::condition_variable changed;
   std::optional<Request> waiting;
   std::atomic<bool> stopping{false};
-  std::atomic<bool> ended{false};
   std::atomic<std::uint64_t> calls{0};
   std::thread thread;
 };
--- a/platform/store_connection.cc
+++ b/libraries/platform/service_connection.cc
@@ -1,4 +1,4 @@
-#include "platform/store_connection.h"
+#include "libraries/platform/service_connection.h"
 
 #include <asio/buffer.hpp>
 #include <asio/write.hpp>
@@ -6,41 +6,43 @@
 
 #include "libraries/base/verify.h"
 
-namespace agaterun::platform_adapter {
+namespace agaterun::platform {
 
 namespace {
 
 using asio::ip::tcp;
 
-constexpr std::size_t kMaxResponseBytes = 8 * 1024 * 1024;
-
 }  // namespace
 
-std::shared_ptr<StoreConnection> StoreConnection::Create(asio::io_context& io,
-                                                         NodeAddress store) {
-  return std::shared_ptr<StoreConnection>(new StoreConnection(io, store));
+std::shared_ptr<ServiceConnection> ServiceConnection::Create(
+    asio::io_context& io,
+    Options options) {
+  return std::shared_ptr<ServiceConnection>(new ServiceConnection(io, options));
 }
 
-StoreConnection::StoreConnection(asio::io_context& io, NodeAddress store)
-    : store(store),
-      socket(io),
-      timer(io),
-      parser({.body_bytes = kMaxResponseBytes}) {}
+ServiceConnection::ServiceConnection(asio::io_context& io, Options options)
+    : options(options), socket(io), timer(io), parser(this->MakeParser()) {}
+
+http::ResponseParser ServiceConnection::MakeParser() const {
+  return http::ResponseParser({.body_bytes = this->options.max_response_bytes},
+                              this->options.without_length);
+}
 
-void StoreConnection::Get(const std::string& target,
-                          Duration timeout,
-                          Callback callback) {
+void ServiceConnection::Get(const std::string& target,
+                            Duration timeout,
+                            Callback callback) {
   VERIFY(!this->done);
   this->done = std::move(callback);
   const auto request_generation = ++this->generation;
   this->request = "GET " + target +
-                  " HTTP/1.1\r\nHost: " + this->store.ToString() + "\r\n\r\n";
+                  " HTTP/1.1\r\nHost: " + this->options.service.ToString() +
+                  "\r\n\r\n";
   this->timer.expires_after(timeout);
   this->timer.async_wait([self = this->shared_from_this(),
                           request_generation](const std::error_code& error) {
     if (!error && self->generation == request_generation) {
       self->Fail(ErrorKind::kTimedOut,
-                 "the platform's store did not respond in time");
+                 "the platform's service did not respond in time");
     }
   });
   this->is_reused = this->is_connected;
@@ -51,20 +53,20 @@
   }
 }
 
-void StoreConnection::Cancel() {
+void ServiceConnection::Cancel() {
   this->done = nullptr;
   ++this->generation;
   this->timer.cancel();
   this->Close();
 }
 
-void StoreConnection::Connect() {
-  this->parser = http::ResponseParser({.body_bytes = kMaxResponseBytes});
+void ServiceConnection::Connect() {
+  this->parser = this->MakeParser();
   std::error_code ignored;
   this->socket.open(tcp::v4(), ignored);
   this->socket.set_option(tcp::no_delay(true), ignored);
-  const tcp::endpoint target(asio::ip::address_v4(this->store.ip),
-                             this->store.port);
+  const tcp::endpoint target(asio::ip::address_v4(this->options.service.ip),
+                             this->options.service.port);
   this->socket.async_connect(target, [self = this->shared_from_this(),
                                       request_generation = this->generation](
                                          const std::error_code& error) {
@@ -80,7 +82,7 @@
   });
 }
 
-void StoreConnection::Write() {
+void ServiceConnection::Write() {
   asio::async_write(
       this->socket, asio::buffer(this->request),
       [self = this->shared_from_this(), request_generation = this->generation](
@@ -92,7 +94,7 @@
   this->Read();
 }
 
-void StoreConnection::Read() {
+void ServiceConnection::Read() {
   this->socket.async_read_some(
       asio::buffer(this->read_buffer),
       [self = this->shared_from_this(), request_generation = this->generation](
@@ -103,10 +105,11 @@
       });
 }
 
-void StoreConnection::OnBytes(const std::error_code& error, std::size_t count) {
+void ServiceConnection::OnBytes(const std::error_code& error,
+                                std::size_t count) {
   if (error) {
-    // The store may have closed the reused connection while it was idle, which
-    // is no failure of the store: the request is sent once more on a new
+    // The service may have closed the reused connection while it was idle,
+    // which is no failure of it: the request is sent once more on a new
     // connection.
     if (this->is_reused && !this->parser.HasStarted()) {
       this->is_reused = false;
@@ -114,33 +117,45 @@
       this->Connect();
       return;
     }
+    if (error == asio::error::eof) {
+      this->parser.FeedEnd();
+      if (this->FinishIfDone(/*is_reusable=*/false)) {
+        return;
+      }
+    }
     this->Fail(ErrorKind::kConnectionFailed, error.message());
     return;
   }
   const auto consumed =
       this->parser.Feed(std::string_view(this->read_buffer.data(), count));
   if (!consumed) {
-    this->Fail(ErrorKind::kMalformedMessage, consumed.error().message);
+    this->Fail(consumed.error().kind, consumed.error().message);
     return;
   }
-  if (!this->parser.IsDone()) {
+  if (!this->FinishIfDone(*consumed == count)) {
     this->Read();
-    return;
+  }
+}
+
+bool ServiceConnection::FinishIfDone(bool is_reusable) {
+  if (!this->parser.IsDone()) {
+    return false;
   }
   bool keep_alive = false;
   auto response = this->parser.Take(keep_alive);
-  if (!keep_alive || *consumed != count) {
+  if (!keep_alive || !is_reusable) {
     this->Close();
   }
   this->Finish(std::move(response));
+  return true;
 }
 
-void StoreConnection::Fail(ErrorKind kind, const std::string& message) {
+void ServiceConnection::Fail(ErrorKind kind, const std::string& message) {
   this->Close();
   this->Finish(MakeError(kind, message));
 }
 
-void StoreConnection::Finish(Result<HttpResponse> result) {
+void ServiceConnection::Finish(Result<HttpResponse> result) {
   ++this->generation;
   this->timer.cancel();
   if (const auto callback = std::exchange(this->done, nullptr); callback) {
@@ -148,10 +163,10 @@
   }
 }
 
-void StoreConnection::Close() {
+void ServiceConnection::Close() {
   this->is_connected = false;
   std::error_code ignored;
   this->socket.close(ignored);
 }
 
-}  // namespace agaterun::platform_adapter
+}  // namespace agaterun::platform
--- a/platform/store_connection.h
+++ b/libraries/platform/service_connection.h
@@ -1,5 +1,5 @@
-#ifndef PLATFORM_STORE_CONNECTION_H_
-#define PLATFORM_STORE_CONNECTION_H_
+#ifndef LIBRARIES_PLATFORM_SERVICE_CONNECTION_H_
+#define LIBRARIES_PLATFORM_SERVICE_CONNECTION_H_
 
 #include <array>
 #include <asio/io_context.hpp>
@@ -15,27 +15,40 @@
 #include "libraries/base/time.h"
 #include "libraries/http/response_parser.h"
 
-namespace agaterun::platform_adapter {
+namespace agaterun::platform {
 
-// A connection to the platform's store that carries one request at a time. It
-// is kept open between requests and reopened after any failure.
-class StoreConnection : public std::enable_shared_from_this<StoreConnection> {
+// A connection to a service of the platform that carries one request at a time.
+// It is kept open between requests and reopened after any failure.
+class ServiceConnection
+    : public std::enable_shared_from_this<ServiceConnection> {
  public:
   using Callback = std::function<void(Result<HttpResponse>)>;
 
-  static std::shared_ptr<StoreConnection> Create(asio::io_context& io,
-                                                 NodeAddress store);
+  struct Options {
+    NodeAddress service;
+    std::size_t max_response_bytes = 8 * 1024 * 1024;  // Of the body.
+    http::ResponseParser::WithoutLength without_length =
+        http::ResponseParser::WithoutLength::kRefused;
+  };
+
+  static std::shared_ptr<ServiceConnection> Create(asio::io_context& io,
+                                                   Options options);
 
   // Sends a GET request. Calls `done` once, never from within this function:
-  // with the response, or with ErrorKind::kConnectionFailed, kTimedOut or
-  // kMalformedMessage. Only one request may be pending at a time.
+  // with the response, or with ErrorKind::kConnectionFailed, kTimedOut,
+  // kMalformedMessage or kLimitReached. Only one request may be pending at a
+  // time.
   void Get(const std::string& target, Duration timeout, Callback done);
 
   // Cancels the pending request, if any, without calling its callback.
   void Cancel();
 
  private:
-  StoreConnection(asio::io_context& io, NodeAddress store);
+  ServiceConnection(asio::io_context& io, Options options);
+
+  http::ResponseParser MakeParser() const;
+  // Ends the request with the response if it is complete.
+  bool FinishIfDone(bool is_reusable);
 
   void Connect();
   void Write();
@@ -45,7 +58,7 @@
   void Finish(Result<HttpResponse> result);
   void Close();
 
-  NodeAddress store;
+  const Options options;
   asio::ip::tcp::socket socket;
   asio::steady_timer timer;
   http::ResponseParser parser;
@@ -60,6 +73,6 @@
   std::uint64_t generation = 0;
 };
 
-}  // namespace agaterun::platform_adapter
+}  // namespace agaterun::platform
 
-#endif  // PLATFORM_STORE_CONNECTION_H_
+#endif  // LIBRARIES_PLATFORM_SERVICE_CONNECTION_H_
