Admission: Short responses keep their memory

What callers would see: while the memory for responses is full of those that slow callers read, a response that states its length took the memory of short ones in chunks, many for one, and their callers got 502.

Cause: a response that states none counted as endless from its first byte.

Change: only responses that hold more than 256 KiB give way.

Evidence: ShortResponsesKeepTheirMemory, on the code before: check with_length.given_up has failed check !response.given_up has failed Now it passes, with the others of ResponseMemoryTest and EndlessAnswerTest.

Besides, the comments of two settings say what they cover.

--- a/libraries/admission/response_memory.cc
+++ b/libraries/admission/response_memory.cc
@@ -78,28 +78,38 @@
 }
 
 // The longest response is the least likely to be sound, and giving it up serves
-// most others. Responses of similar lengths take no memory from each other:
-// under lasting overload none of them would end.
+// most others. Giving up short ones would gain little.
+ResponseMemory::Reservation* ResponseMemory::FindLongest() const {
+  Reservation* longest = nullptr;
+  const auto length_of = [](const Reservation& reservation) {
+    return std::pair(ExpectedBytes(reservation), reservation.bytes);
+  };
+  for (auto* candidate : this->receiving) {
+    if (candidate->bytes > kShortResponseBytes &&
+        (longest == nullptr || length_of(*candidate) > length_of(*longest))) {
+      longest = candidate;
+    }
+  }
+  return longest;
+}
+
+// Responses of similar lengths take no memory from each other: under lasting
+// overload none of them would end.
 ResponseMemory::Reservation* ResponseMemory::FindVictim(
     const Reservation& growing,
     std::size_t bytes) const {
-  const auto longest =
-      std::max_element(this->receiving.begin(), this->receiving.end(),
-                       [](const auto* left, const auto* right) {
-                         return std::pair(ExpectedBytes(*left), left->bytes) <
-                                std::pair(ExpectedBytes(*right), right->bytes);
-                       });
-  if (longest == this->receiving.end() || (*longest)->bytes == 0) {
+  auto* longest = this->FindLongest();
+  if (longest == nullptr) {
     return nullptr;
   }
   const bool is_growing_open_ended =
       growing.on_revoked && !growing.expected_bytes;
   const bool is_much_longer =
       is_growing_open_ended
-          ? !(*longest)->expected_bytes && (*longest)->bytes > bytes
-          : ExpectedBytes(**longest) / kMuchLongerRatio >=
+          ? !longest->expected_bytes && longest->bytes > bytes
+          : ExpectedBytes(*longest) / kMuchLongerRatio >=
                 std::max(bytes, growing.expected_bytes.value_or(0));
-  return is_much_longer ? *longest : nullptr;
+  return is_much_longer ? longest : nullptr;
 }
 
 void ResponseMemory::Revoke(Reservation& reservation) {
--- a/libraries/admission/response_memory.h
+++ b/libraries/admission/response_memory.h
@@ -70,6 +70,9 @@
   static std::size_t ExpectedBytes(const Reservation& reservation);
   // Whether a response may grow to `bytes` now.
   bool Fits(const Reservation& reservation, std::size_t bytes) const;
+  // The one of those being received that is expected to become the longest;
+  // nullptr if all are short.
+  Reservation* FindLongest() const;
   // The response that has to make room for one that grows to `bytes`; nullptr
   // if none has to.
   Reservation* FindVictim(const Reservation& growing, std::size_t bytes) const;
--- a/libraries/decision/request_types.h
+++ b/libraries/decision/request_types.h
@@ -75,7 +75,7 @@
   kCancelled,         // The caller disconnected or the parent visit ended.
   kWaitingForState,   // The node has not received the tickets in force yet.
   kMalformed,         // The request itself is invalid.
-  kLimitReached,      // A table of the node is full.
+  kLimitReached,      // A table or the memory of the node is full.
   kBackendRejected,   // The backend server reported that it did not run it.
   kUnknownKey,        // No client account holds the request's key.
   kQuotaExceeded,     // The client account has reached its quota.
--- a/libraries/platform/platform_reader.h
+++ b/libraries/platform/platform_reader.h
@@ -33,8 +33,10 @@
   struct Options {
     NodeAddress platform;
     Duration connect_timeout = 1s;
-    Duration read_timeout = 2s;  // On top of `watch_time` for a watch.
-    Duration watch_time = 20s;   // A watch without news ends after this.
+    // Of a whole call, on top of `connect_timeout`, and of `watch_time` for a
+    // watch.
+    Duration read_timeout = 2s;
+    Duration watch_time = 20s;  // A watch without news ends after this.
     int tickets_per_read = 64;
   };
 
--- a/tests/admission/response_memory_test.cc
+++ b/tests/admission/response_memory_test.cc
@@ -172,6 +172,24 @@
   BOOST_TEST(ended > 50);
 }
 
+// Giving up short responses would fail many and gain little.
+BOOST_FIXTURE_TEST_CASE(ShortResponsesKeepTheirMemory, Fixture) {
+  std::deque<Incoming> short_responses;
+  while (Used() < kMaxBytes) {
+    short_responses.emplace_back(memory);
+    short_responses.back().Grow(kShortBytes);
+  }
+  Incoming with_length(memory, kShortBytes);
+  with_length.Grow(kShortBytes);
+  BOOST_TEST(with_length.given_up);
+  Incoming open_ended(memory);
+  open_ended.Grow(kShortBytes);
+  BOOST_TEST(open_ended.given_up);
+  for (const auto& response : short_responses) {
+    BOOST_TEST(!response.given_up);
+  }
+}
+
 // Responses that state a great length and come slowly don't hold up others.
 BOOST_FIXTURE_TEST_CASE(GreatLengthsGiveWayToMuchShorterResponses, Fixture) {
   std::deque<Incoming> long_responses;
