Node: One bound for the responses that wait for all peers

What callers saw: several nodes that read slowly, or stand still, took the node of a backend server with long responses over the memory of its machine. Past 32 MiB for one of them its link was closed, and all its requests at that backend server got 502.

Cause: replies that wait to be written were bounded for each peer alone.

Change: a reply of more than 64 KiB that finds 24 MiB queued for all peers is sent without its response, as of unknown outcome; its request gets 502 alone and the link stays. The frames are as before.

Evidence: ResponsesQueuedForAllPeersTogetherAreBounded, four peers that read nothing; on the code before critical check gate.links->QueuedBytes() <= kMaxQueuedBytes + kResponseBytes has failed [9437787 > 9437184] with a bound of 8 MiB.

--- a/libraries/node/node_links.h
+++ b/libraries/node/node_links.h
@@ -63,6 +63,9 @@
     std::size_t max_frame_bytes = 4 * 1024 * 1024;  // Checked before decoding.
     std::size_t connections = 2048;  // Accepted from other nodes.
     std::size_t max_unsent_bytes = 32 * 1024 * 1024;  // Send queue per peer.
+    // Send queues of all peers together, beyond which no long response is
+    // queued.
+    std::size_t max_unsent_response_bytes = 24 * 1024 * 1024;
     Duration idle_timeout = 300s;
   };
 
--- a/libraries/node/node_links_frames.cc
+++ b/libraries/node/node_links_frames.cc
@@ -21,6 +21,9 @@
 // this.
 constexpr std::size_t kTicketItemsFrameDivisor = 2;
 
+// Replies up to this size are bounded by the send queue of their peer alone.
+constexpr std::size_t kShortFrameBytes = 64 * 1024;
+
 }  // namespace
 
 Result<void> NodeLinks::Implementation::OnFrame(Connection& connection,
@@ -263,6 +266,13 @@
   return false;
 }
 
+bool NodeLinks::Implementation::HasRoomToQueue(
+    const OutgoingFrame& frame) const {
+  return frame.bytes.size() <= kShortFrameBytes ||
+         this->QueuedBytes() + frame.bytes.size() <=
+             this->options.max_unsent_response_bytes;
+}
+
 void NodeLinks::Implementation::ReportUnsentVisit(
     const decision::AttemptId& attempt) {
   asio::post(this->io, [self = this->shared_from_this(), attempt] {
@@ -292,7 +302,7 @@
     return;
   }
   auto frame = EncodeReply(reply, response);
-  if (!this->IsWithinFrame(frame, to)) {
+  if (!this->IsWithinFrame(frame, to) || !this->HasRoomToQueue(frame)) {
     // The request ran, but its response is too large to send. The origin gets
     // the outcome kUnknown, so that it does not wait until its timeout.
     auto reply_without_response = reply;
--- a/libraries/node/node_links_implementation.h
+++ b/libraries/node/node_links_implementation.h
@@ -83,6 +83,8 @@
   void Sweep();
   bool IsAllowed(NodeAddress peer) const;
   bool IsWithinFrame(const OutgoingFrame& frame, NodeAddress to);
+  // Whether the send queues of all peers leave room for a reply.
+  bool HasRoomToQueue(const OutgoingFrame& frame) const;
   void SendOn(Connection& connection, NodeAddress to, OutgoingFrame frame);
   void ReportUnsentVisit(const decision::AttemptId& attempt);
 
--- a/tests/node/hostile_peer_test.cc
+++ b/tests/node/hostile_peer_test.cc
@@ -4,7 +4,9 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <functional>
+#include <memory>
 #include <ostream>
+#include <vector>
 
 #include "libraries/base/random.h"
 #include "libraries/node/frame_messages.h"
@@ -278,6 +280,62 @@
   fixture.CheckValidCallCompletes();
 }
 
+// Failure: responses queued for peers that read nothing were bounded for each
+// peer alone, so several of them took the gate over the memory of its machine,
+// and past the bound the connection was closed, with all its visits.
+BOOST_AUTO_TEST_CASE(ResponsesQueuedForAllPeersTogetherAreBounded) {
+  constexpr std::size_t kMaxQueuedBytes = 8 * 1024 * 1024;
+  constexpr std::size_t kResponseBytes = 1024 * 1024;
+  constexpr int kPeers = 4;
+  constexpr int kRepliesPerPeer = 40;
+  IoThreads threads;
+  TestNode gate(threads.io, {.max_unsent_response_bytes = kMaxQueuedBytes});
+  std::vector<NodeAddress> addresses;
+  std::vector<std::unique_ptr<RawPeer>> peers;
+  for (int number = 0; number < kPeers; ++number) {
+    addresses.push_back(FreeAddress());
+    peers.push_back(
+        std::make_unique<RawPeer>(addresses.back(), gate.options.self));
+    peers.back()->Send(GreetingBytes(addresses.back(), kIncarnation));
+  }
+  BOOST_REQUIRE(
+      Eventually([&] { return gate.links->ConnectionCount() == kPeers; }));
+  // A connection is in use once its greeting has been handled.
+  for (int number = 0; number < kPeers; ++number) {
+    peers[number]->Send(VisitBytes(ValidVisit(addresses[number])));
+  }
+  BOOST_REQUIRE(gate.observer.WaitFor([](const ReceivedEvents& events) {
+    return events.visits.size() == kPeers;
+  }));
+  for (int reply = 0; reply < kRepliesPerPeer; ++reply) {
+    for (const auto& address : addresses) {
+      gate.links->SendReply(address, ReplyTo(ValidVisit(address)),
+                            MakeResponse(std::string(kResponseBytes, 'x')));
+      BOOST_TEST_REQUIRE(gate.links->QueuedBytes() <=
+                         kMaxQueuedBytes + kResponseBytes);
+    }
+  }
+  BOOST_TEST(gate.links->ConnectionCount() == kPeers);
+  // Each visit gets a reply: its response, or that the outcome is unknown.
+  for (const auto& peer : peers) {
+    int unknown = 0;
+    for (int reply = 0; reply < kRepliesPerPeer; ++reply) {
+      const auto frame = peer->ReceiveFrame();
+      BOOST_TEST_REQUIRE(!frame.empty());
+      const auto message = DecodeReply(PayloadOf(frame));
+      BOOST_TEST_REQUIRE(message.has_value());
+      const bool has_response = message->response != nullptr;
+      unknown += has_response ? 0 : 1;
+      BOOST_TEST((message->reply.outcome ==
+                  (has_response ? decision::Outcome::kCompleted
+                                : decision::Outcome::kUnknown)));
+      BOOST_TEST(
+          (!has_response || message->response->body.size() == kResponseBytes));
+    }
+    BOOST_TEST(unknown > 0);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(SecondGreetingIsRejected) {
   HostilePeerFixture fixture;
   RawPeer peer(fixture.from, fixture.gate.options.self);
