Tests: Names and literals as the linter wants them

Two constants of early_answer_test.cc had a name of constexpr values, and literals of malformed_answer_test.cc were put together from two, which the linter takes for a missing comma.

--- a/tests/proxy/early_answer_test.cc
+++ b/tests/proxy/early_answer_test.cc
@@ -24,8 +24,8 @@
 // Of a pool that has nothing to handle.
 constexpr Duration kQuietTime = 20ms;
 
-const std::string kHeadWithoutLength = "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n";
-const std::string kPart = "part of the body";
+const std::string head_without_length = "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n";
+const std::string part = "part of the body";
 
 // A backend server whose socket the test reads, writes and closes itself, so
 // that it decides what the pool's connection sees first.
@@ -114,7 +114,7 @@
   void ExpectPartIsWhole() {
     const auto& ended = this->Result();
     BOOST_TEST_REQUIRE((ended.end == ExchangeResult::kResponded));
-    BOOST_TEST(ended.answer->body == kPart);
+    BOOST_TEST(ended.answer->body == part);
   }
 
   asio::io_context io{1};
@@ -132,7 +132,7 @@
 BOOST_FIXTURE_TEST_CASE(ResetSeenByTheWriteIsNoEndOfResponse, Fixture) {
   this->Upload(kLongBodyBytes);
   this->FillConnection();
-  this->Write(kHeadWithoutLength + kPart);
+  this->Write(head_without_length + part);
   this->Reset();
   this->ExpectBroken();
 }
@@ -141,7 +141,7 @@
 BOOST_FIXTURE_TEST_CASE(ResetBehindAReadPartIsNoEndOfResponse, Fixture) {
   this->Upload(kLongBodyBytes);
   this->FillConnection();
-  this->Write(kHeadWithoutLength + kPart);
+  this->Write(head_without_length + part);
   this->HandleEvents();
   this->Reset();
   this->ExpectBroken();
@@ -150,7 +150,7 @@
 // The same, before the pool has seen that the connection takes no more.
 BOOST_FIXTURE_TEST_CASE(ResetDuringTheFirstWriteIsNoEndOfResponse, Fixture) {
   this->Upload(kLongBodyBytes);
-  this->Write(kHeadWithoutLength + kPart);
+  this->Write(head_without_length + part);
   this->Reset();
   this->ExpectBroken();
 }
@@ -159,7 +159,7 @@
 BOOST_FIXTURE_TEST_CASE(ResetSeenByTheReadIsNoEndOfResponse, Fixture) {
   this->Upload(kShortBodyBytes);
   this->FillConnection();
-  this->Write(kHeadWithoutLength + kPart);
+  this->Write(head_without_length + part);
   this->Reset();
   this->ExpectBroken();
 }
@@ -168,7 +168,7 @@
 BOOST_FIXTURE_TEST_CASE(ResetInTheHeadIsNoResponse, Fixture) {
   this->Upload(kLongBodyBytes);
   this->FillConnection();
-  this->Write(kHeadWithoutLength.substr(0, kHeadWithoutLength.size() - 2));
+  this->Write(head_without_length.substr(0, head_without_length.size() - 2));
   this->Reset();
   this->ExpectBroken();
 }
@@ -178,7 +178,7 @@
 BOOST_FIXTURE_TEST_CASE(OrderlyEndCompletesEarlyResponse, Fixture) {
   this->Upload(kLongBodyBytes);
   this->FillConnection();
-  this->Write(kHeadWithoutLength + kPart);
+  this->Write(head_without_length + part);
   this->Finish();
   this->ExpectPartIsWhole();
 }
@@ -186,7 +186,7 @@
 BOOST_FIXTURE_TEST_CASE(OrderlyEndCompletesResponseWhileRequestIsRead,
                         Fixture) {
   this->Upload(kLongBodyBytes);
-  this->Write(kHeadWithoutLength + kPart);
+  this->Write(head_without_length + part);
   this->Finish();
   this->ReadRequest();
   this->ExpectPartIsWhole();
@@ -197,7 +197,7 @@
 BOOST_FIXTURE_TEST_CASE(ResetBehindTheOrderlyEndTakesNothingBack, Fixture) {
   this->Upload(kLongBodyBytes);
   this->FillConnection();
-  this->Write(kHeadWithoutLength + kPart);
+  this->Write(head_without_length + part);
   this->Finish();
   this->Reset();
   this->ExpectPartIsWhole();
@@ -208,7 +208,7 @@
   this->Upload(kLongBodyBytes);
   this->FillConnection();
   this->Write("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: " +
-              std::to_string(kPart.size()) + "\r\n\r\n" + kPart);
+              std::to_string(part.size()) + "\r\n\r\n" + part);
   this->Reset();
   this->ExpectPartIsWhole();
 }
--- a/tests/proxy/malformed_answer_test.cc
+++ b/tests/proxy/malformed_answer_test.cc
@@ -100,10 +100,8 @@
     "X: a\rb",
     "X: a\nb",
     std::string("X: a\0b", 6),
-    "X: a\x01"
-    "b",
-    "X: a\x7f"
-    "b",
+    "X: a\001b",
+    "X: a\177b",
     "X: a\r\n b",
     "X: a\r\n\tb",
     "X\xc3\xa4: z",
