--- a/tests/proxy/endless_answer_test.cc
+++ b/tests/proxy/endless_answer_test.cc
@@ -259,7 +259,8 @@
   BOOST_TEST(fixture.observer.reachable);
 }
 
-// The opposite: long sound responses arrive whole, whatever tells their end.
+// The opposite: long sound responses arrive whole, whether their end is marked
+// by a length, by the last chunk or by the connection's end.
 BOOST_AUTO_TEST_CASE(LongSoundResponsesArriveWhole) {
   Fixture fixture({}, admission::ResponseMemory::Options{}.max_bytes);
   calls::VisitNumber next = 1;
