Calls: Calls of an earlier process's requests are unavailable, not denied

What callers saw: a node was killed and back after 0.5 s, while the backend server beside it went on with 20 accepted requests.

Cause: a nested call is known only by the visit that runs in this process. A process that has just started knows none, so that the call counted as a caller's without a key. The same held for a visit whose connection broke or that was cancelled, which was forgotten at once.

Why it works: until the longest timeout after its start, a process can't know that a call belongs to nobody, and says so with 503 (not run). Visits without a response are remembered until their deadlines, so that calls of what must run once have their account, and calls of what was abandoned get 503.

--- a/libraries/calls/call_origin.cc
+++ b/libraries/calls/call_origin.cc
@@ -62,6 +62,10 @@
     std::uint64_t key_seed) {
   this->keys =
       std::make_shared<const accounts::KeyIndex>(configuration, key_seed);
+  this->longest_timeout = {};
+  for (const auto& route : configuration->routes) {
+    this->longest_timeout = std::max(this->longest_timeout, route.timeout);
+  }
   this->routes =
       std::make_shared<const routing::RouteTable>(std::move(configuration));
 }
--- a/libraries/calls/call_origin.h
+++ b/libraries/calls/call_origin.h
@@ -103,11 +103,11 @@
   retries::RetryQuota& RetryBudget() { return this->budget; }
 
   // `parent` is set when the call is nested in a request that the local backend
-  // server runs.
+  // server runs or may run.
   void OnRequest(Instant now,
                  decision::CallId call,
                  HttpRequest request,
-                 const std::optional<VisitGate::Parent>& parent);
+                 const std::optional<NestedCallParent>& parent);
   void OnCallerDisconnected(Instant now, decision::CallId call);
   // Refuses new requests from now on, so that callers use another host. Nested
   // calls of requests that run on this host are still accepted.
@@ -156,7 +156,7 @@
     std::string account;
     Instant arrived{};
     Instant deadline{};  // For the final response.
-    std::optional<VisitGate::Parent> parent;
+    std::optional<NestedCallParent> parent;
     decision::Importance importance = decision::Importance::kNormal;
     std::uint8_t account_priority = 0;
     bool returned_after_refusal = false;
@@ -190,8 +190,12 @@
                     const HttpRequest& request,
                     std::uint64_t fingerprint,
                     const routing::Route* route);
+  // True if the request may be a nested call of a request that was sent to the
+  // backend server by the process before this one.
+  bool MayHaveUnknownParent(Instant now, const HttpRequest& request) const;
   // Sets `account` to the request's client account, nullptr if it has none.
-  bool Authenticate(decision::CallId id,
+  bool Authenticate(Instant now,
+                    decision::CallId id,
                     const HttpRequest& request,
                     const routing::Route& route,
                     const routing::ClientAccount*& account);
@@ -258,6 +262,7 @@
   std::shared_ptr<const routing::RouteTable> routes;
   std::shared_ptr<const accounts::KeyIndex> keys;
   bool are_keys_confirmed = true;
+  Duration longest_timeout{};  // Of the routes in force.
   routing::WeightedServicePicker service_picker;
   routing::EndpointChooser chooser;
   routing::ResponseSizes response_sizes;
--- a/libraries/calls/call_origin_entry.cc
+++ b/libraries/calls/call_origin_entry.cc
@@ -98,7 +98,18 @@
   return true;
 }
 
-bool CallOrigin::Authenticate(CallId id,
+bool CallOrigin::MayHaveUnknownParent(Instant now,
+                                      const HttpRequest& request) const {
+  // Nested calls have no key, and no request runs beyond its route's timeout.
+  const auto* request_id =
+      FindHeader(request.headers, this->dialect.request_id);
+  return FindHeader(request.headers, this->dialect.account_key) == nullptr &&
+         request_id != nullptr && ParentIdOf(*request_id) &&
+         now - this->options.started < this->longest_timeout;
+}
+
+bool CallOrigin::Authenticate(Instant now,
+                              CallId id,
                               const HttpRequest& request,
                               const routing::Route& route,
                               const routing::ClientAccount*& account) {
@@ -110,6 +121,11 @@
   const auto authentication = accounts::Authenticate(
       *this->keys, route, request.headers, this->dialect.account_key);
   if (!authentication.accepted) {
+    if (this->MayHaveUnknownParent(now, request)) {
+      // Whether the key is missing or not needed is unknown.
+      this->RejectAsUnavailable(id, request, Reason::kWaitingForState);
+      return false;
+    }
     this->RejectRequest(id, request,
                         {.route = route.name,
                          .status = http_status::kUnauthorized,
@@ -158,7 +174,7 @@
 void CallOrigin::OnRequest(Instant now,
                            CallId id,
                            HttpRequest request,
-                           const std::optional<VisitGate::Parent>& parent) {
+                           const std::optional<NestedCallParent>& parent) {
   if (!this->routes) {
     this->RejectAsUnavailable(id, request, Reason::kWaitingForState);
     return;
@@ -167,13 +183,17 @@
     this->RejectAsUnavailable(id, request, Reason::kLeaving);
     return;
   }
+  if (parent && parent->is_abandoned) {
+    this->RejectAsUnavailable(id, request, Reason::kCancelled);
+    return;
+  }
   const auto* route = this->FindRoute(request);
   const auto fingerprint = ComputeFingerprint(request);
   if (!this->IsAcceptable(now, id, request, fingerprint, route)) {
     return;
   }
   const routing::ClientAccount* account = nullptr;
-  if (!parent && !this->Authenticate(id, request, *route, account)) {
+  if (!parent && !this->Authenticate(now, id, request, *route, account)) {
     return;
   }
   const auto* service = this->service_picker.Pick(*route);
--- a/libraries/calls/visit_gate.cc
+++ b/libraries/calls/visit_gate.cc
@@ -34,9 +34,6 @@
 // Counts of visits and nested calls are halved at this many.
 constexpr double kMaxCountedVisits = 400;
 
-// Separates the id of a request from the suffix that its nested call adds.
-constexpr char kIdSeparator = '.';
-
 void AddCost(std::vector<ServiceCost>& costs,
              std::string_view service,
              Duration slot_time) {
@@ -285,6 +282,13 @@
   this->output.SendReply(visit.from, std::move(reply), std::move(answer));
 }
 
+NestedCallParent VisitGate::MakeParent(VisitNumber number, const Visit& visit) {
+  return {.visit = number,
+          .importance = visit.request.importance,
+          .account_priority = visit.request.account_priority,
+          .account = visit.request.share};
+}
+
 void VisitGate::EndVisit(VisitNumber number) {
   const auto found = this->visits.find(number);
   this->visits_by_attempt.erase(found->second.request.attempt);
@@ -297,22 +301,29 @@
   this->visits.erase(found);
 }
 
-std::optional<VisitGate::Parent> VisitGate::FindParent(
+std::optional<NestedCallParent> VisitGate::FindParent(
+    Instant now,
     std::string_view request_id) const {
-  const auto separator = request_id.rfind(kIdSeparator);
-  if (separator == std::string_view::npos) {
+  const auto parent_id = ParentIdOf(request_id);
+  if (!parent_id) {
     return std::nullopt;
   }
-  const auto found = this->running_by_request_id.find(
-      std::string(request_id.substr(0, separator)));
-  if (found == this->running_by_request_id.end()) {
-    return std::nullopt;
+  const auto running =
+      this->running_by_request_id.find(std::string(*parent_id));
+  if (running != this->running_by_request_id.end()) {
+    return MakeParent(running->second, this->visits.at(running->second));
   }
-  const auto& visit = this->visits.at(found->second);
-  return Parent{.visit = found->second,
-                .importance = visit.request.importance,
-                .account_priority = visit.request.account_priority,
-                .account = visit.request.share};
+  const auto* parent = this->abandoned.Find(now, *parent_id);
+  return parent == nullptr ? std::nullopt : std::optional(*parent);
+}
+
+void VisitGate::RecordAbandoned(Instant now,
+                                VisitNumber number,
+                                const Visit& visit) {
+  auto parent = MakeParent(number, visit);
+  // The origin may run an idempotent request again.
+  parent.is_abandoned = visit.request.idempotent;
+  this->abandoned.Add(now, visit.request_id, visit.deadline, std::move(parent));
 }
 
 void VisitGate::AddCosts(VisitNumber number,
@@ -359,6 +370,7 @@
   this->queue.Ended(now - visit.started);
   this->times.RecordLowerBound(now, visit.route, now - visit.started);
   this->last_result = now;
+  this->RecordAbandoned(now, number, visit);
   this->EndVisit(number);
   this->StartQueued(now);
 }
--- a/libraries/calls/visit_gate.h
+++ b/libraries/calls/visit_gate.h
@@ -14,17 +14,15 @@
 #include "libraries/admission/work_times.h"
 #include "libraries/base/http_message.h"
 #include "libraries/base/log_event.h"
+#include "libraries/calls/abandoned_visits.h"
 #include "libraries/calls/dialect.h"
+#include "libraries/calls/nested_call_parent.h"
 #include "libraries/decision/messages.h"
 #include "libraries/membership/endpoint_entry.h"
 #include "libraries/retries/crash_history.h"
 
 namespace agaterun::calls {
 
-// Identifies a visit: a request at the gate, queued or running at the backend
-// server.
-using VisitNumber = std::uint64_t;
-
 using SharedRequest = std::shared_ptr<const HttpRequest>;
 
 // How an exchange with the backend server ended.
@@ -110,16 +108,11 @@
   void OnTick(Instant now);
   std::optional<Instant> NextWake(Instant now) const;
 
-  // The running request that made the nested call with this request id; nullopt
-  // when the call was not made by the backend server. The id of a nested call
-  // extends the id of its parent request.
-  struct Parent {
-    VisitNumber visit = 0;
-    decision::Importance importance = decision::Importance::kNormal;
-    std::uint8_t account_priority = 0;
-    std::string account;  // Client account; empty if it has none.
-  };
-  std::optional<Parent> FindParent(std::string_view request_id) const;
+  // The request that made the nested call with this request id: one that runs,
+  // or one that may still run although its exchange has ended. nullopt when no
+  // request known to this process has made the call.
+  std::optional<NestedCallParent> FindParent(Instant now,
+                                             std::string_view request_id) const;
 
   // A nested call of a running request has ended and took `costs`.
   void AddCosts(VisitNumber visit,
@@ -176,8 +169,12 @@
   void HandleResponse(Instant now, VisitNumber number, decision::Answer answer);
   // The request may have run, and nothing of its response is passed on.
   void EndWithoutResponse(Instant now,
-                          const Visit& visit,
+                          VisitNumber number,
                           decision::Reason reason);
+  static NestedCallParent MakeParent(VisitNumber number, const Visit& visit);
+  // The backend server may go on running the request of the visit, which is to
+  // end now.
+  void RecordAbandoned(Instant now, VisitNumber number, const Visit& visit);
   void EndVisit(VisitNumber number);
   std::vector<decision::ServiceCost> TotalCosts(Instant now,
                                                 const Visit& visit) const;
@@ -205,6 +202,7 @@
   std::unordered_map<decision::AttemptId, VisitNumber> visits_by_attempt;
   std::unordered_map<std::string, VisitNumber>
       running_by_request_id;  // Of running visits.
+  AbandonedVisits abandoned;
   double failure_share = 0;
   Instant last_result{};      // When an exchange last ended or was aborted.
   double started_visits = 0;  // Decays together with `nested_calls`.
--- a/libraries/calls/visit_gate_responses.cc
+++ b/libraries/calls/visit_gate_responses.cc
@@ -97,6 +97,7 @@
     case ResponseClass::kInvalid:
       this->RecordResult(now, true);
       this->queue.Ended(now - visit.started);
+      this->RecordAbandoned(now, number, visit);
       this->SendVisitReply(now, visit, Outcome::kUnknown,
                            Reason::kBackendFailed, true, nullptr);
       return;
@@ -104,10 +105,12 @@
 }
 
 void VisitGate::EndWithoutResponse(Instant now,
-                                   const Visit& visit,
+                                   VisitNumber number,
                                    Reason reason) {
+  const auto& visit = this->visits.at(number);
   this->RecordResult(now, true);
   this->queue.Ended(now - visit.started);
+  this->RecordAbandoned(now, number, visit);
   this->output.ReportVisit(LogEvent::kVisitBroken, *visit.http_request, reason,
                            now - visit.started);
   this->SendVisitReply(now, visit, Outcome::kUnknown, reason, true, nullptr);
@@ -135,11 +138,11 @@
       break;
     case ExchangeResult::kBroken:
       this->crashes.RecordBrokenExchange(now, visit.request.fingerprint);
-      this->EndWithoutResponse(now, visit, Reason::kBackendFailed);
+      this->EndWithoutResponse(now, number, Reason::kBackendFailed);
       break;
     case ExchangeResult::kGivenUp:
       // Counted as a failure: other endpoints may have the memory.
-      this->EndWithoutResponse(now, visit, Reason::kLimitReached);
+      this->EndWithoutResponse(now, number, Reason::kLimitReached);
       break;
   }
   this->EndVisit(number);
--- a/libraries/proxy/proxy_node.cc
+++ b/libraries/proxy/proxy_node.cc
@@ -176,7 +176,8 @@
   }
   // Callers and the backend server connect to the same address. A nested call
   // of the backend server is recognized by the request id of its parent visit.
-  const auto parent = this->gate.FindParent(this->RequestIdOf(request));
+  const auto parent =
+      this->gate.FindParent(this->Now(), this->RequestIdOf(request));
   if (parent) {
     this->gate.CountNestedCall();
   }
