Membership: An entry of an unnamed service takes no endpoint's place

Cause: Fleet makes one node of all entries of a host, and the latest start decided on its service, whatever it was. At the endpoint's own address the gate lost its endpoint as well.

Evidence: without the change EntryOfUnnamedServiceTakesNoEndpointsPlace fails at both ports and in both orders (NodesOf("drafts").size() 0 != 1, instance x != a), and EntryOfUnnamedServiceAddsNoNode (2 nodes != 1).

Why it works: entries of services that the configuration names precede others, and an unnamed one at another port than that of backend servers is left out. The list is applied again when the named services change. An endpoint whose service isn't named keeps its node in the fleet (UnnamedServiceAtUsualPortIsListed).

--- a/libraries/membership/fleet.cc
+++ b/libraries/membership/fleet.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <set>
+#include <utility>
 
 #include "libraries/base/node_hash.h"
 
@@ -57,15 +58,40 @@
   return found == this->nodes.end() ? nullptr : &found->second;
 }
 
+bool Fleet::SetNamedServices(std::set<std::string, std::less<>> services) {
+  const bool is_changed = services != this->named_services;
+  this->named_services = std::move(services);
+  return is_changed;
+}
+
+bool Fleet::IsUsable(const EndpointEntry& entry) const {
+  // A backend server whose service the configuration doesn't name, or not yet,
+  // is known by its port.
+  return this->IsNamed(entry.service) ||
+         entry.address.port == this->options.backend_port;
+}
+
+bool Fleet::TakesPrecedence(const EndpointEntry& entry,
+                            std::string_view other_service,
+                            std::uint64_t other_started_at) const {
+  if (this->IsNamed(entry.service) != this->IsNamed(other_service)) {
+    return this->IsNamed(entry.service);
+  }
+  return entry.started_at >= other_started_at;
+}
+
 void Fleet::SetList(Instant now, const std::vector<EndpointEntry>& entries) {
   this->list = entries;
+  std::erase_if(this->list,
+                [&](const auto& entry) { return !this->IsUsable(entry); });
   for (auto& [address, node] : this->nodes) {
     node.listed = false;
   }
-  for (const auto& entry : entries) {
+  for (const auto& entry : this->list) {
     auto& node = this->FindOrAdd(this->NodeOf(entry));
-    // Of several entries at one address, only the newest is in use.
-    if (node.listed && entry.started_at < node.started_at) {
+    // Of several entries of one host, only one is in use.
+    if (node.listed &&
+        !this->TakesPrecedence(entry, node.service, node.started_at)) {
       continue;
     }
     if (node.service != entry.service) {
@@ -144,14 +170,15 @@
 }
 
 std::optional<EndpointEntry> Fleet::EntryAt(NodeAddress address) const {
-  std::optional<EndpointEntry> newest;
+  std::optional<EndpointEntry> used;
   for (const auto& entry : this->list) {
     if (entry.address == address &&
-        (!newest || entry.started_at >= newest->started_at)) {
-      newest = entry;
+        (!used ||
+         this->TakesPrecedence(entry, used->service, used->started_at))) {
+      used = entry;
     }
   }
-  return newest;
+  return used;
 }
 
 std::vector<FleetNode*> Fleet::NodesOf(std::string_view service) {
--- a/libraries/membership/fleet.h
+++ b/libraries/membership/fleet.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -63,13 +64,21 @@
     NodeAddress self;
     // Port at which each node listens for others.
     std::uint16_t node_port = 0;
+    // Port of each backend server.
+    std::uint16_t backend_port = 0;
     std::string failure_domain;
   };
 
   explicit Fleet(Options options) : options(std::move(options)) {}
 
-  // Applies the listed entries. Unlisted nodes are removed when they have not
-  // sent a message recently and have no attempts in flight.
+  // Sets the services that the configuration in force names. Until then, every
+  // service counts as named. Applies from the next SetList on. Returns whether
+  // the services are others than before.
+  bool SetNamedServices(std::set<std::string, std::less<>> services);
+
+  // Applies the listed entries, of which some may come from other writers than
+  // backend servers. Unlisted nodes are removed when they have not sent a
+  // message recently and have no attempts in flight.
   void SetList(Instant now, const std::vector<EndpointEntry>& entries);
 
   // The node beside the endpoint.
@@ -77,8 +86,8 @@
     return {.ip = entry.address.ip, .port = this->options.node_port};
   }
 
-  // The listed entry at the address of a backend server, the newest if there
-  // are several; nullopt if there is none.
+  // The listed entry at the address of a backend server, the one in use if
+  // there are several; nullopt if there is none.
   std::optional<EndpointEntry> EntryAt(NodeAddress address) const;
 
   // Known nodes of a service, listed or not.
@@ -143,12 +152,23 @@
   const std::vector<EndpointEntry>& List() const { return this->list; }
 
  private:
+  bool IsNamed(std::string_view service) const {
+    return this->named_services.empty() ||
+           this->named_services.contains(service);
+  }
+  // False if the entry can't be that of a backend server.
+  bool IsUsable(const EndpointEntry& entry) const;
+  // Whether `entry` is in use rather than `other`, of the same host.
+  bool TakesPrecedence(const EndpointEntry& entry,
+                       std::string_view other_service,
+                       std::uint64_t other_started_at) const;
   FleetNode& FindOrAdd(NodeAddress node);
   void RemoveUnlistedNodes(Instant now);
   void ApplyStatedLeaving(FleetNode& node);
   bool MayAggregate(Instant now, const FleetNode& node) const;
 
   Options options;
+  std::set<std::string, std::less<>> named_services;
   std::vector<EndpointEntry> list;
   std::unordered_map<NodeAddress, FleetNode> nodes;
   std::map<std::string, std::vector<NodeAddress>, std::less<>> by_service;
--- a/libraries/proxy/proxy_node.cc
+++ b/libraries/proxy/proxy_node.cc
@@ -54,6 +54,9 @@
       key_seed(this->random.Next()),
       fleet({.self = this->settings.node,
              .node_port = this->settings.node.port,
+             .backend_port = this->settings.backend_server
+                                 ? this->settings.backend_server->port
+                                 : std::uint16_t{0},
              .failure_domain = this->settings.failure_domain}),
       fleet_size(this->settings.failure_domain_count),
       crashes(this->settings.node),
--- a/libraries/proxy/proxy_node_platform.cc
+++ b/libraries/proxy/proxy_node_platform.cc
@@ -1,3 +1,6 @@
+#include <functional>
+#include <set>
+#include <string>
 #include <utility>
 
 #include "libraries/base/log.h"
@@ -7,6 +10,24 @@
 // platform, whether read directly or received from other nodes.
 namespace agaterun::proxy {
 
+namespace {
+
+std::set<std::string, std::less<>> NamedServices(
+    const routing::Configuration& configuration) {
+  std::set<std::string, std::less<>> services;
+  for (const auto& [service, settings] : configuration.services) {
+    services.insert(service);
+  }
+  for (const auto& route : configuration.routes) {
+    for (const auto& [service, weight] : route.services) {
+      services.insert(service);
+    }
+  }
+  return services;
+}
+
+}  // namespace
+
 void ProxyNode::OnConfiguration(
     std::shared_ptr<const routing::Configuration> configuration,
     std::string text) {
@@ -22,7 +43,12 @@
   this->callers->SetLimits(
       {.header_bytes = limits.header_bytes, .body_bytes = limits.body_bytes},
       limits.header_timeout, limits.idle_timeout);
+  auto services = NamedServices(*configuration);
   this->origin.SetConfiguration(std::move(configuration), this->key_seed);
+  if (this->fleet.SetNamedServices(std::move(services))) {
+    this->UpdateFleet();
+    this->UpdateLocalEntry(/*is_authoritative=*/false);
+  }
 }
 
 void ProxyNode::LogRefused(const membership::RefusedEntry& entry) {
--- a/tests/membership/fleet_test.cc
+++ b/tests/membership/fleet_test.cc
@@ -22,9 +22,20 @@
   Instant now = 100s;
   Fleet fleet{{.self = {.ip = 9, .port = kPort},
                .node_port = kPort,
+               .backend_port = 8000,
                .failure_domain = "a"}};
 };
 
+// An entry of another writer, written after the backend server had started.
+EndpointEntry ForeignEntry(const char* id, NodeAddress address) {
+  return {.id = id,
+          .service = "exporter",
+          .address = address,
+          .failure_domain = "a",
+          .slots = 1,
+          .started_at = 90};
+}
+
 BOOST_FIXTURE_TEST_CASE(NewerEntryAtSameAddressIsUsed, Fixture) {
   auto old_entry = Entry("old", 5);
   old_entry.service = "ledger";
@@ -34,6 +45,51 @@
   BOOST_TEST(this->fleet.NodesOf("ledger").empty());
 }
 
+// Failure: an entry of another writer took the place of the backend server on
+// the same host, at its address or at another port, so that its service had no
+// endpoint left.
+BOOST_FIXTURE_TEST_CASE(EntryOfUnnamedServiceTakesNoEndpointsPlace, Fixture) {
+  for (const std::uint16_t port : {9100, 8000}) {
+    BOOST_TEST_CONTEXT("port " << port) {
+      const auto foreign = ForeignEntry("x", {.ip = 1, .port = port});
+      for (const auto& entries : {std::vector{Entry("a", 5), foreign},
+                                  std::vector{foreign, Entry("a", 5)}}) {
+        BOOST_TEST(this->fleet.SetNamedServices({"drafts", "vault"}));
+        this->fleet.SetList(this->now, entries);
+        BOOST_TEST(this->fleet.NodesOf("drafts").size() == 1U);
+        BOOST_TEST(this->fleet.Find(kNode)->instance == "a");
+        BOOST_TEST(this->fleet.EntryAt({.ip = 1, .port = 8000})->id == "a");
+        this->fleet.SetNamedServices({});
+      }
+    }
+  }
+}
+
+// Failure: nodes that don't exist counted as part of the fleet, and could be
+// chosen as aggregators.
+BOOST_FIXTURE_TEST_CASE(EntryOfUnnamedServiceAddsNoNode, Fixture) {
+  this->fleet.SetNamedServices({"drafts"});
+  this->fleet.SetList(
+      this->now, {Entry("a", 5), ForeignEntry("x", {.ip = 2, .port = 9100})});
+  BOOST_TEST(this->fleet.All().size() == 1U);
+  BOOST_TEST(this->fleet.List().size() == 1U);
+}
+
+// The opposite: the node of a backend server whose service the configuration
+// doesn't name, or not yet, is part of the fleet.
+BOOST_FIXTURE_TEST_CASE(UnnamedServiceAtUsualPortIsListed, Fixture) {
+  this->fleet.SetNamedServices({"vault"});
+  this->fleet.SetList(this->now, {Entry("a", 5)});
+  BOOST_TEST(this->fleet.Find(kNode)->listed);
+  BOOST_TEST(this->fleet.EntryAt({.ip = 1, .port = 8000})->id == "a");
+  // A newer one at its address whose service is named takes its place.
+  auto next = Entry("b", 6);
+  next.service = "vault";
+  this->fleet.SetList(this->now, {next, Entry("a", 5)});
+  BOOST_TEST(this->fleet.Find(kNode)->instance == "b");
+  BOOST_TEST(!this->fleet.SetNamedServices({"vault"}));
+}
+
 BOOST_FIXTURE_TEST_CASE(ChangedServiceAtAddressResetsLoad, Fixture) {
   this->fleet.SetList(this->now, {Entry("a", 5)});
   this->fleet.RecordLoad(this->now, kNode, {.leaving = true});
