Calls: A request with a key is no nested call, and a call has its parent's rights

Cause: OnRequest took any request whose id extends that of a running one for a call of the backend server, left out the check of its key and took over the parent's account, also where the request had a key, which a call never has, and where the parent had no account to pass on.

Evidence: without the change RequestWithKeyIsNoNestedCall fails (share acme != bolt; status 0 != 401 with an unknown key), and CallOfRequestWithoutAccountNeedsExemptRoute (sent, where 401 is due).

Why it works: a request with a key is a caller's, and is authenticated. A nested call reaches a route that needs a key only if its parent has an account. Calls are counted where this is decided.

--- a/libraries/calls/call_origin.h
+++ b/libraries/calls/call_origin.h
@@ -51,6 +51,8 @@
                          const SharedRequest& request) = 0;
   virtual void CancelVisit(NodeAddress to,
                            const decision::AttemptId& attempt) = 0;
+  // A nested call of a visit has arrived.
+  virtual void NestedCallStarted() = 0;
   // A nested call of the visit `parent` has ended. `costs` is the slot time
   // that it took at each service, including its own nested calls.
   virtual void NestedCallEnded(
@@ -102,12 +104,12 @@
   }
   retries::RetryQuota& RetryBudget() { return this->budget; }
 
-  // `parent` is set when the call is nested in a request that the local backend
-  // server runs or may run.
+  // `parent` is set when the id of the request is that of a call nested in a
+  // request that the local backend server runs or may run.
   void OnRequest(Instant now,
                  decision::CallId call,
                  HttpRequest request,
-                 const std::optional<NestedCallParent>& parent);
+                 std::optional<NestedCallParent> parent);
   void OnCallerDisconnected(Instant now, decision::CallId call);
   // Refuses new requests from now on, so that callers use another host. Nested
   // calls of requests that run on this host are still accepted.
@@ -190,6 +192,12 @@
                     const HttpRequest& request,
                     std::uint64_t fingerprint,
                     const routing::Route* route);
+  // True if the request has a key of a client account, or what looks like one.
+  // Nested calls have none.
+  bool HasKey(const HttpRequest& request) const;
+  // True if the nested call may run for its parent's account.
+  bool MayInheritAccount(const NestedCallParent& parent,
+                         const routing::Route& route) const;
   // True if the request may be a nested call of a request that was sent to the
   // backend server by the process before this one.
   bool MayHaveUnknownParent(Instant now, const HttpRequest& request) const;
@@ -198,6 +206,7 @@
                     decision::CallId id,
                     const HttpRequest& request,
                     const routing::Route& route,
+                    const std::optional<NestedCallParent>& parent,
                     const routing::ClientAccount*& account);
   bool TakeQuota(Instant now,
                  decision::CallId id,
--- a/libraries/calls/call_origin_entry.cc
+++ b/libraries/calls/call_origin_entry.cc
@@ -98,13 +98,26 @@
   return true;
 }
 
+bool CallOrigin::HasKey(const HttpRequest& request) const {
+  return this->keys->HasAccounts() &&
+         FindHeader(request.headers, this->dialect.account_key) != nullptr;
+}
+
+bool CallOrigin::MayInheritAccount(const NestedCallParent& parent,
+                                   const routing::Route& route) const {
+  // A caller chooses its request ids. If it needs no key for one request, an id
+  // that extends this request's id doesn't admit it to other routes.
+  return !parent.account.empty() || !route.requires_key ||
+         !this->keys->HasAccounts();
+}
+
 bool CallOrigin::MayHaveUnknownParent(Instant now,
                                       const HttpRequest& request) const {
   // Nested calls have no key, and no request runs beyond its route's timeout.
   const auto* request_id =
       FindHeader(request.headers, this->dialect.request_id);
-  return FindHeader(request.headers, this->dialect.account_key) == nullptr &&
-         request_id != nullptr && ParentIdOf(*request_id) &&
+  return !this->HasKey(request) && request_id != nullptr &&
+         ParentIdOf(*request_id) &&
          now - this->options.started < this->longest_timeout;
 }
 
@@ -112,7 +125,11 @@
                               CallId id,
                               const HttpRequest& request,
                               const routing::Route& route,
+                              const std::optional<NestedCallParent>& parent,
                               const routing::ClientAccount*& account) {
+  if (parent && this->MayInheritAccount(*parent, route)) {
+    return true;
+  }
   if (!this->are_keys_confirmed && this->keys->HasAccounts() &&
       route.requires_key) {
     this->RejectAsUnavailable(id, request, Reason::kWaitingForState);
@@ -174,11 +191,17 @@
 void CallOrigin::OnRequest(Instant now,
                            CallId id,
                            HttpRequest request,
-                           const std::optional<NestedCallParent>& parent) {
+                           std::optional<NestedCallParent> parent) {
   if (!this->routes) {
     this->RejectAsUnavailable(id, request, Reason::kWaitingForState);
     return;
   }
+  if (parent && this->HasKey(request)) {
+    parent.reset();
+  }
+  if (parent) {
+    this->output.NestedCallStarted();
+  }
   if (this->stopping && !parent) {
     this->RejectAsUnavailable(id, request, Reason::kLeaving);
     return;
@@ -193,7 +216,7 @@
     return;
   }
   const routing::ClientAccount* account = nullptr;
-  if (!parent && !this->Authenticate(now, id, request, *route, account)) {
+  if (!this->Authenticate(now, id, request, *route, parent, account)) {
     return;
   }
   const auto* service = this->service_picker.Pick(*route);
--- a/libraries/proxy/proxy_node.cc
+++ b/libraries/proxy/proxy_node.cc
@@ -179,12 +179,9 @@
   }
   // Callers and the backend server connect to the same address. A nested call
   // of the backend server is recognized by the request id of its parent visit.
-  const auto parent =
-      this->gate.FindParent(this->Now(), this->RequestIdOf(request));
-  if (parent) {
-    this->gate.CountNestedCall();
-  }
-  this->origin.OnRequest(this->Now(), call, std::move(request), parent);
+  auto parent = this->gate.FindParent(this->Now(), this->RequestIdOf(request));
+  this->origin.OnRequest(this->Now(), call, std::move(request),
+                         std::move(parent));
   this->ArmWakeTimer();
 }
 
@@ -192,6 +189,10 @@
   this->origin.OnCallerDisconnected(this->Now(), call);
 }
 
+void ProxyNode::NestedCallStarted() {
+  this->gate.CountNestedCall();
+}
+
 void ProxyNode::NestedCallEnded(
     calls::VisitNumber parent,
     const std::vector<decision::ServiceCost>& costs) {
--- a/libraries/proxy/proxy_node.h
+++ b/libraries/proxy/proxy_node.h
@@ -114,6 +114,7 @@
                  const decision::VisitRequest& visit,
                  const calls::SharedRequest& request) override;
   void CancelVisit(NodeAddress to, const decision::AttemptId& attempt) override;
+  void NestedCallStarted() override;
   void NestedCallEnded(
       calls::VisitNumber parent,
       const std::vector<decision::ServiceCost>& costs) override;
--- a/tests/calls/call_origin_test.cc
+++ b/tests/calls/call_origin_test.cc
@@ -34,6 +34,7 @@
                    const decision::AttemptId& attempt) override {
     this->cancelled.push_back(attempt);
   }
+  void NestedCallStarted() override { ++this->started_nested_calls; }
   void NestedCallEnded(
       VisitNumber parent,
       const std::vector<decision::ServiceCost>& costs) override {
@@ -52,6 +53,7 @@
 
   std::deque<Sent> sent;
   std::vector<decision::AttemptId> cancelled;
+  int started_nested_calls = 0;
   std::vector<VisitNumber> ended_nested_calls;
   std::vector<decision::ServiceCost> nested_costs;
   std::map<decision::CallId, HttpResponse> responses;
@@ -692,6 +694,40 @@
   BOOST_TEST(this->output.sent.back().visit.account_priority == 1);
 }
 
+// Failure: a caller whose request id extended the id of a running request of
+// another account ran its request for that account, and one with an unknown key
+// ran it without any.
+BOOST_FIXTURE_TEST_CASE(RequestWithKeyIsNoNestedCall, AccountsFixture) {
+  const NestedCallParent parent{.visit = 7, .account = "acme"};
+  this->SendWithKeys(1, "/read/1", {"k-bolt"}, parent);
+  BOOST_TEST((this->SentAccounts() == Names{"bolt"}));
+  BOOST_TEST(this->output.sent.back().visit.share == "bolt");
+  BOOST_TEST(!this->output.sent.back().visit.nested);
+  this->SendWithKeys(2, "/read/1", {"k-none"}, parent);
+  BOOST_TEST(this->ResponseStatus(2) == 401);
+  this->SendWithKeys(3, "/open/1", {"k-none"}, parent);
+  BOOST_TEST(this->SentAccounts().empty());
+  BOOST_TEST(this->output.started_nested_calls == 0);
+}
+
+// Failure: a caller without a key sent one request on a route that is exempt
+// from keys, and while it ran others that extended its id to any route.
+BOOST_FIXTURE_TEST_CASE(CallOfRequestWithoutAccountNeedsExemptRoute,
+                        AccountsFixture) {
+  const NestedCallParent parent{.visit = 7};
+  this->SendWithKeys(1, "/read/1", {}, parent);
+  BOOST_TEST(this->ResponseStatus(1) == 401);
+  BOOST_TEST(this->output.sent.empty());
+  this->SendWithKeys(2, "/open/1", {}, parent);
+  BOOST_TEST(this->output.sent.back().visit.nested);
+  // Without accounts no request needs a key.
+  auto configuration = std::make_shared<routing::Configuration>();
+  configuration->routes = {this->RouteTo("read", /*requires_key=*/true)};
+  this->origin.SetConfiguration(configuration, kKeySeed);
+  this->SendWithKeys(3, "/read/1", {"k-acme"}, parent);
+  BOOST_TEST(this->output.sent.back().visit.nested);
+}
+
 // An abandoned request need not complete, so that its calls don't run.
 BOOST_FIXTURE_TEST_CASE(CallOfAbandonedRequestIsRefusedAsNotRun,
                         AccountsFixture) {
