Retries: Endpoints that are left try a quarantined request

What callers saw: three endpoints were lost for good at once while they ran a harmless request that many send.

Cause: only nodes whose endpoints crashed may try a quarantined request, and none of these endpoints came back. A route that moves to another service has the same fate.

Evidence: on the code before, QuarantinedRequestIsTriedAtListedEndpoint fails (503 != 0, 503 != 200). EndpointsThatAreLeftTryQuarantinedRequest and EndpointThatDidNotCrashTriesQuarantinedRequest are new with the function.

Why it works: TrialNode knows the service's listed endpoints. Where none of those that crashed is listed, up to four others take turns; all nodes choose the same ones.

--- a/libraries/calls/call_origin.h
+++ b/libraries/calls/call_origin.h
@@ -187,11 +187,17 @@
   const routing::Route* FindRoute(const HttpRequest& request) const;
   // The checks below respond to the caller and return false when the request
   // is not to run.
-  bool IsAcceptable(Instant now,
-                    decision::CallId id,
+  bool IsAcceptable(decision::CallId id,
                     const HttpRequest& request,
-                    std::uint64_t fingerprint,
                     const routing::Route* route);
+  // Sets `trial_node` to the only node that may run the request if it is
+  // quarantined.
+  bool FindTrialNode(Instant now,
+                     decision::CallId id,
+                     const HttpRequest& request,
+                     std::uint64_t fingerprint,
+                     const std::string& service,
+                     std::optional<NodeAddress>& trial_node);
   // True if the request has a key of a client account, or what looks like one.
   // Nested calls have none.
   bool HasKey(const HttpRequest& request) const;
--- a/libraries/calls/call_origin_entry.cc
+++ b/libraries/calls/call_origin_entry.cc
@@ -73,10 +73,8 @@
   return host == nullptr ? nullptr : this->routes->Find(*host, request.target);
 }
 
-bool CallOrigin::IsAcceptable(Instant now,
-                              CallId id,
+bool CallOrigin::IsAcceptable(CallId id,
                               const HttpRequest& request,
-                              std::uint64_t fingerprint,
                               const routing::Route* route) {
   if (route == nullptr) {
     this->RejectRequest(
@@ -90,12 +88,24 @@
         {.status = http_status::kBadRequest, .reason = Reason::kMalformed});
     return false;
   }
-  if (this->crashes.IsQuarantined(now, fingerprint) &&
-      !this->crashes.TrialNode(now, fingerprint)) {
+  return true;
+}
+
+bool CallOrigin::FindTrialNode(Instant now,
+                               CallId id,
+                               const HttpRequest& request,
+                               std::uint64_t fingerprint,
+                               const std::string& service,
+                               std::optional<NodeAddress>& trial_node) {
+  if (!this->crashes.IsQuarantined(now, fingerprint)) {
+    return true;
+  }
+  trial_node = this->crashes.TrialNode(now, fingerprint,
+                                       this->fleet.ListedNodesOf(service));
+  if (!trial_node) {
     this->RejectAsUnavailable(id, request, Reason::kQuarantined);
-    return false;
   }
-  return true;
+  return trial_node.has_value();
 }
 
 bool CallOrigin::HasKey(const HttpRequest& request) const {
@@ -211,8 +221,7 @@
     return;
   }
   const auto* route = this->FindRoute(request);
-  const auto fingerprint = ComputeFingerprint(request);
-  if (!this->IsAcceptable(now, id, request, fingerprint, route)) {
+  if (!this->IsAcceptable(id, request, route)) {
     return;
   }
   const routing::ClientAccount* account = nullptr;
@@ -224,7 +233,11 @@
     this->RejectAsUnavailable(id, request, Reason::kNoSuchService);
     return;
   }
-  if (!this->TakeQuota(now, id, request, *route, account)) {
+  const auto fingerprint = ComputeFingerprint(request);
+  std::optional<NodeAddress> trial_node;
+  if (!this->FindTrialNode(now, id, request, fingerprint, *service,
+                           trial_node) ||
+      !this->TakeQuota(now, id, request, *route, account)) {
     return;
   }
   const auto caller_deadline =
@@ -242,7 +255,7 @@
       .id = id,
       .request = std::make_shared<const HttpRequest>(std::move(request)),
       .fingerprint = fingerprint,
-      .trial_node = this->crashes.TrialNode(now, fingerprint),
+      .trial_node = trial_node,
       .table = this->routes,
       .route = route,
       .service = *service,
--- a/libraries/calls/visit_gate.cc
+++ b/libraries/calls/visit_gate.cc
@@ -185,7 +185,9 @@
     return false;
   }
   const bool is_on_trial_here =
-      this->crashes.TrialNode(now, fingerprint) == this->crashes.Self();
+      this->crashes.TrialNode(
+          now, fingerprint, this->fleet.ListedNodesOf(this->options.service)) ==
+      this->crashes.Self();
   const auto copies = std::count_if(
       this->visits.begin(), this->visits.end(), [&](const auto& item) {
         return item.second.request.fingerprint == fingerprint;
--- a/libraries/calls/visit_gate.h
+++ b/libraries/calls/visit_gate.h
@@ -19,6 +19,7 @@
 #include "libraries/calls/nested_call_parent.h"
 #include "libraries/decision/messages.h"
 #include "libraries/membership/endpoint_entry.h"
+#include "libraries/membership/fleet.h"
 #include "libraries/retries/crash_history.h"
 
 namespace agaterun::calls {
@@ -69,14 +70,16 @@
     std::string service;
   };
 
-  // `dialect`, `crashes` and `output` must outlive the gate.
+  // `dialect`, `crashes`, `fleet` and `output` must outlive the gate.
   VisitGate(Options options,
             const Dialect& dialect,
             retries::CrashHistory& crashes,
+            const membership::Fleet& fleet,
             GateOutput& output)
       : options(std::move(options)),
         dialect(dialect),
         crashes(crashes),
+        fleet(fleet),
         output(output) {}
 
   void SetService(std::string service);
@@ -186,6 +189,7 @@
   Options options;
   const Dialect& dialect;
   retries::CrashHistory& crashes;
+  const membership::Fleet& fleet;
   GateOutput& output;
   std::optional<membership::EndpointEntry> entry;
   BackendNotice notice;
--- a/libraries/membership/fleet.cc
+++ b/libraries/membership/fleet.cc
@@ -195,6 +195,16 @@
   return found;
 }
 
+std::vector<NodeAddress> Fleet::ListedNodesOf(std::string_view service) const {
+  std::vector<NodeAddress> listed;
+  for (const auto& [address, node] : this->nodes) {
+    if (node.listed && node.service == service) {
+      listed.push_back(address);
+    }
+  }
+  return listed;
+}
+
 std::vector<std::string> Fleet::Services() const {
   std::vector<std::string> services;
   for (const auto& [service, addresses] : this->by_service) {
--- a/libraries/membership/fleet.h
+++ b/libraries/membership/fleet.h
@@ -93,6 +93,9 @@
   // Known nodes of a service, listed or not.
   std::vector<FleetNode*> NodesOf(std::string_view service);
 
+  // Nodes of a service whose backend server is listed, in any state.
+  std::vector<NodeAddress> ListedNodesOf(std::string_view service) const;
+
   std::vector<std::string> Services() const;
 
   FleetNode* Find(NodeAddress node);
--- a/libraries/retries/crash_history.cc
+++ b/libraries/retries/crash_history.cc
@@ -4,6 +4,8 @@
 #include <iterator>
 #include <utility>
 
+#include "libraries/base/node_hash.h"
+
 namespace agaterun::retries {
 
 namespace {
@@ -36,6 +38,10 @@
 // Each of the nodes in question may try it for this long.
 constexpr Duration kTrialTurn = 5s;
 
+// Maximum number of these nodes. A node that has not received the report of a
+// failed trial tries the request once more.
+constexpr std::size_t kMaxTrialNodes = 4;
+
 constexpr std::size_t kMaxBrokenExchanges = 1024;
 constexpr std::size_t kMaxReportedRequests = 128;
 
@@ -183,9 +189,31 @@
          now - found->second.last_crash <= kQuarantineDuration;
 }
 
+std::vector<NodeAddress> CrashHistory::TrialNodes(
+    std::uint64_t fingerprint,
+    const Suspect& suspect,
+    std::vector<NodeAddress> endpoints) {
+  std::sort(endpoints.begin(), endpoints.end());
+  std::vector<NodeAddress> nodes;
+  std::set_intersection(suspect.reporters.begin(), suspect.reporters.end(),
+                        endpoints.begin(), endpoints.end(),
+                        std::back_inserter(nodes));
+  if (!nodes.empty()) {
+    return nodes;
+  }
+  // The order differs between requests, so that no node tries them all.
+  std::sort(endpoints.begin(), endpoints.end(),
+            [&](NodeAddress left, NodeAddress right) {
+              return NodeHash(left, fingerprint) < NodeHash(right, fingerprint);
+            });
+  endpoints.resize(std::min(endpoints.size(), kMaxTrialNodes));
+  return endpoints;
+}
+
 std::optional<NodeAddress> CrashHistory::TrialNode(
     Instant now,
-    std::uint64_t fingerprint) const {
+    std::uint64_t fingerprint,
+    std::vector<NodeAddress> endpoints) const {
   if (!this->IsQuarantined(now, fingerprint)) {
     return std::nullopt;
   }
@@ -194,11 +222,13 @@
   if (suspect.trial_failed || since_crash <= kTrialDelay) {
     return std::nullopt;
   }
-  const auto turn = (since_crash - kTrialDelay) / kTrialTurn;
-  auto node = suspect.reporters.begin();
-  std::advance(node,
-               turn % static_cast<std::int64_t>(suspect.reporters.size()));
-  return *node;
+  const auto nodes = TrialNodes(fingerprint, suspect, std::move(endpoints));
+  if (nodes.empty()) {
+    return std::nullopt;
+  }
+  const auto turn =
+      static_cast<std::size_t>((since_crash - kTrialDelay) / kTrialTurn);
+  return nodes[turn % nodes.size()];
 }
 
 CrashHistory::Counts CrashHistory::Count(Instant now) const {
--- a/libraries/retries/crash_history.h
+++ b/libraries/retries/crash_history.h
@@ -55,11 +55,15 @@
 
   // The node that may run the quarantined request now, one copy at a time. A
   // completion ends the quarantine; after another crash no node runs it until
-  // the quarantine expires. The nodes whose servers crashed take turns, since
-  // some of these servers may not come back. Returns nullopt if no node may run
-  // it now, and for requests that aren't quarantined.
-  std::optional<NodeAddress> TrialNode(Instant now,
-                                       std::uint64_t fingerprint) const;
+  // the quarantine expires. `endpoints` are the nodes that have a listed
+  // backend server of the service. Those whose servers crashed take turns,
+  // since some of these may not come back; a few others if none of them is
+  // listed any more. Returns nullopt if no node may run it now, and for
+  // requests that aren't quarantined.
+  std::optional<NodeAddress> TrialNode(
+      Instant now,
+      std::uint64_t fingerprint,
+      std::vector<NodeAddress> endpoints) const;
 
   // Recent crashes of the local backend server, to be reported in heartbeats.
   std::vector<decision::CrashReport> HeartbeatEntries(Instant now);
@@ -106,6 +110,11 @@
     decision::CrashReport report;
   };
 
+  // The nodes that take turns, in an order that is the same at all nodes.
+  static std::vector<NodeAddress> TrialNodes(
+      std::uint64_t fingerprint,
+      const Suspect& suspect,
+      std::vector<NodeAddress> endpoints);
   // The requests of the crash that are reported now.
   static decision::CrashReport ReportPart(Instant now, const LocalCrash& crash);
   void AttributeExchange(Instant now,
--- a/tests/calls/call_origin_test.cc
+++ b/tests/calls/call_origin_test.cc
@@ -140,6 +140,16 @@
     this->origin.OnReply(this->now, reply, answer);
   }
 
+  // Three nodes, of which this is the first, report crashes at which the
+  // request was running.
+  void Quarantine(std::uint64_t fingerprint, std::uint32_t first_node) {
+    for (std::uint32_t ip = first_node; ip < first_node + 3; ++ip) {
+      this->crashes.RecordReportedCrash(
+          this->now, {.ip = ip, .port = kPort},
+          {.id = ip, .fingerprints = {fingerprint}});
+    }
+  }
+
   int ResponseStatus(decision::CallId call) {
     return this->output.responses.contains(call)
                ? this->output.responses.at(call).status
@@ -239,11 +249,7 @@
 BOOST_FIXTURE_TEST_CASE(QuarantinedRequestGoesToTrialNodeAlone, Fixture) {
   this->SendRequest(1, "/read/today");
   const auto fingerprint = this->output.sent.back().visit.fingerprint;
-  for (std::uint32_t ip = 2; ip <= 4; ++ip) {
-    this->crashes.RecordReportedCrash(
-        this->now, {.ip = ip, .port = kPort},
-        {.id = ip, .fingerprints = {fingerprint}});
-  }
+  this->Quarantine(fingerprint, /*first_node=*/2);
   this->now += 3s;
   this->RecordMessagesOfAll();
   const auto sent = this->output.sent.size();
@@ -259,6 +265,20 @@
   BOOST_TEST(!this->crashes.IsQuarantined(this->now, fingerprint));
 }
 
+// Failure: a request that had been running at three endpoints which were lost
+// for good was refused, though others of the service were left to try it.
+BOOST_FIXTURE_TEST_CASE(QuarantinedRequestIsTriedAtListedEndpoint, Fixture) {
+  this->SendRequest(1, "/read/today");
+  const auto fingerprint = this->output.sent.back().visit.fingerprint;
+  this->Quarantine(fingerprint, /*first_node=*/4);
+  this->now += 3s;
+  this->RecordMessagesOfAll();
+  this->SendRequest(2, "/read/today");
+  BOOST_TEST(this->ResponseStatus(2) == 0);
+  this->DeliverReply(Outcome::kCompleted, Reason::kNone);
+  BOOST_TEST(this->ResponseStatus(2) == 200);
+}
+
 BOOST_FIXTURE_TEST_CASE(ReplacesReservedRequestHeaders, Fixture) {
   this->SendRequest(1, "/read/1");
   const auto& headers = this->output.sent.back().request->headers;
--- a/tests/calls/visit_gate_test.cc
+++ b/tests/calls/visit_gate_test.cc
@@ -15,6 +15,7 @@
 using decision::Reason;
 
 constexpr NodeAddress kOrigin{.ip = 7, .port = 7300};
+constexpr NodeAddress kSelf{.ip = 1, .port = 7300};
 
 class RecordingOutput final : public GateOutput {
  public:
@@ -56,10 +57,17 @@
 };
 
 struct Fixture {
-  Fixture() { this->gate.SetEntry(this->now, this->Entry()); }
+  Fixture() {
+    this->fleet.SetList(this->now, {this->Entry()});
+    this->gate.SetEntry(this->now, this->Entry());
+  }
 
   membership::EndpointEntry Entry() const {
-    return {.id = "i-1", .service = "drafts", .slots = 2, .started_at = 5};
+    return {.id = "i-1",
+            .service = "drafts",
+            .address = {.ip = kSelf.ip, .port = 8000},
+            .slots = 2,
+            .started_at = 5};
   }
 
   void SubmitVisit(decision::CallId call,
@@ -109,10 +117,13 @@
   Instant now = 100s;
   Dialect dialect = TestDialect();
   RecordingOutput output;
-  retries::CrashHistory crashes;
+  retries::CrashHistory crashes{kSelf};
+  membership::Fleet fleet{
+      {.self = kSelf, .node_port = kSelf.port, .backend_port = 8000}};
   VisitGate gate{{.service = "drafts"},
                  this->dialect,
                  this->crashes,
+                 this->fleet,
                  this->output};
 };
 
@@ -311,6 +322,21 @@
   BOOST_TEST(this->output.started.size() == 1U);
 }
 
+// Failure: a request that had been running at three endpoints which were lost
+// for good was refused by those that were left.
+BOOST_FIXTURE_TEST_CASE(EndpointThatDidNotCrashTriesQuarantinedRequest,
+                        Fixture) {
+  for (std::uint64_t id = 1; id <= 3; ++id) {
+    this->crashes.RecordReportedCrash(this->now, kOrigin,
+                                      {.id = id, .fingerprints = {0}});
+  }
+  this->SubmitVisit(1);
+  BOOST_TEST((this->ReplyReason(1) == Reason::kQuarantined));
+  this->now += 3s;
+  this->SubmitVisit(2);
+  BOOST_TEST(this->output.started.size() == 1U);
+}
+
 // Failure: under load, a rejection by a full backend server cleared a request
 // that crashes the servers that run it.
 BOOST_FIXTURE_TEST_CASE(ResponseThatCompletesNothingClearsNoSuspect, Fixture) {
--- a/tests/retries/crash_fleet.cc
+++ b/tests/retries/crash_fleet.cc
@@ -64,10 +64,20 @@
   }
 }
 
+std::vector<NodeAddress> CrashFleet::Endpoints() const {
+  std::vector<NodeAddress> endpoints;
+  for (std::size_t index = 0;
+       index < static_cast<std::size_t>(this->options.endpoints); ++index) {
+    endpoints.push_back(AddressOf(index));
+  }
+  return endpoints;
+}
+
 std::optional<std::size_t> CrashFleet::ChooseEndpoint(
     const CrashHistory& origin,
     std::uint64_t fingerprint) {
-  const auto trial = origin.TrialNode(this->now, fingerprint);
+  const auto trial =
+      origin.TrialNode(this->now, fingerprint, this->Endpoints());
   if (trial) {
     return trial->ip - 1;
   }
@@ -99,7 +109,7 @@
       node.running.begin(), node.running.end(), [&](const Running& request) {
         return request.fingerprint == fingerprint;
       });
-  return node.history.TrialNode(this->now, fingerprint) ==
+  return node.history.TrialNode(this->now, fingerprint, this->Endpoints()) ==
              node.history.Self() &&
          !is_running;
 }
--- a/tests/retries/crash_fleet.h
+++ b/tests/retries/crash_fleet.h
@@ -71,6 +71,8 @@
   void Step();
   void SendFrom(std::size_t origin, std::uint64_t fingerprint);
   bool IsAcceptedBy(const Node& node, std::uint64_t fingerprint) const;
+  // The nodes with an endpoint, which stay listed when it crashes.
+  std::vector<NodeAddress> Endpoints() const;
   std::optional<std::size_t> ChooseEndpoint(const CrashHistory& origin,
                                             std::uint64_t fingerprint);
   void EndRequests(std::size_t index);
--- a/tests/retries/crash_history_test.cc
+++ b/tests/retries/crash_history_test.cc
@@ -1,6 +1,8 @@
 #include "libraries/retries/crash_history.h"
 
 #include <boost/test/unit_test.hpp>
+#include <set>
+#include <vector>
 
 namespace agaterun::retries {
 
@@ -8,6 +10,9 @@
 
 constexpr std::uint64_t kPoison = 66;
 constexpr NodeAddress kReporter{.ip = 1, .port = 7300};
+const std::vector<NodeAddress> kEndpoints = {{.ip = 1, .port = 7300},
+                                             {.ip = 2, .port = 7300},
+                                             {.ip = 3, .port = 7300}};
 
 // Records a crash of the local backend server while the poison request and a
 // few others are running.
@@ -107,13 +112,44 @@
                                 {.id = ip, .fingerprints = {kPoison}});
   }
   BOOST_TEST(history.IsQuarantined(101s, kPoison));
-  BOOST_TEST(!history.TrialNode(101s, kPoison).has_value());
-  BOOST_TEST(history.TrialNode(103s, kPoison)->ip == 1U);
+  BOOST_TEST(!history.TrialNode(101s, kPoison, kEndpoints).has_value());
+  BOOST_TEST(history.TrialNode(103s, kPoison, kEndpoints)->ip == 1U);
   // The endpoint of the first node may be lost for good.
-  BOOST_TEST(history.TrialNode(108s, kPoison)->ip == 2U);
+  BOOST_TEST(history.TrialNode(108s, kPoison, kEndpoints)->ip == 2U);
   history.RecordCompletion(108s, kPoison);
   BOOST_TEST(!history.IsQuarantined(108s, kPoison));
-  BOOST_TEST(!history.TrialNode(108s, kPoison).has_value());
+  BOOST_TEST(!history.TrialNode(108s, kPoison, kEndpoints).has_value());
+}
+
+// Failure: a harmless request was refused for two minutes after all endpoints
+// that had run it were lost for good, since no other endpoint could try it.
+BOOST_AUTO_TEST_CASE(EndpointsThatAreLeftTryQuarantinedRequest) {
+  CrashHistory history;
+  for (const auto& lost : kEndpoints) {
+    history.RecordReportedCrash(100s, lost,
+                                {.id = lost.ip, .fingerprints = {kPoison}});
+  }
+  std::vector<NodeAddress> left;
+  for (std::uint32_t ip = 4; ip <= 50; ++ip) {
+    left.push_back({.ip = ip, .port = 7300});
+  }
+  const std::vector<NodeAddress> other_order(left.rbegin(), left.rend());
+  std::set<NodeAddress> chosen;
+  for (Instant now = 103s; now < 220s; now += 1s) {
+    const auto node = history.TrialNode(now, kPoison, left);
+    BOOST_TEST_REQUIRE(node.has_value());
+    BOOST_TEST(node->ip > 3U);
+    // All nodes choose the same one.
+    BOOST_TEST((history.TrialNode(now, kPoison, other_order) == node));
+    chosen.insert(*node);
+  }
+  // Bounds the crashes of a request whose failed trial part of the nodes
+  // doesn't know.
+  BOOST_TEST(chosen.size() == 4U);
+  // One of those that crashed is back.
+  left.push_back(kEndpoints.front());
+  BOOST_TEST((history.TrialNode(103s, kPoison, left) == kEndpoints.front()));
+  BOOST_TEST(!history.TrialNode(103s, kPoison, {}).has_value());
 }
 
 // The opposite: a request that crashes the endpoint that tries it is refused
@@ -124,13 +160,13 @@
     history.RecordReportedCrash(95s + id * 1s, kReporter,
                                 {.id = id, .fingerprints = {kPoison}});
   }
-  BOOST_TEST(history.TrialNode(101s, kPoison).has_value());
+  BOOST_TEST(history.TrialNode(101s, kPoison, kEndpoints).has_value());
   history.RecordReportedCrash(102s, kReporter,
                               {.id = 4, .fingerprints = {kPoison}});
   for (int second = 102; second < 222; ++second) {
     const Instant now = std::chrono::seconds(second);
     BOOST_TEST(history.IsQuarantined(now, kPoison));
-    BOOST_TEST(!history.TrialNode(now, kPoison).has_value());
+    BOOST_TEST(!history.TrialNode(now, kPoison, kEndpoints).has_value());
   }
 }
 
