Calls: Requests of other hosts and accounts are other requests

What callers saw: a request crashed the endpoints of one service. The other way round, completions of the namesake cleared the crashing one.

Cause: the hash that tells requests apart left out the host and the client account.

Evidence: on the code before, RequestsOfOtherHostsAndAccountsAreOthers fails for two other hosts and for another account (the same hash).

Why it works: the hash covers the host as routes see it, and the account. Not the service: a request may crash endpoints at each service of a split route.

--- a/libraries/calls/call_origin_entry.cc
+++ b/libraries/calls/call_origin_entry.cc
@@ -37,10 +37,23 @@
   return std::chrono::milliseconds(std::min(value, kMaxMilliseconds));
 }
 
-std::uint64_t ComputeFingerprint(const HttpRequest& request) {
-  const auto target = request.method + " " + request.target;
-  const auto head = XXH64(target.data(), target.size(), 0);
-  return XXH64(request.body.data(), request.body.size(), head);
+// Hash of all that decides what the request does at a backend server, which is
+// the same each time it is sent. The service isn't part of it: a request that
+// crashes backend servers may do so at each service of its route.
+std::uint64_t ComputeFingerprint(const HttpRequest& request,
+                                 std::string_view account) {
+  const auto* host = FindHeader(request.headers, "Host");
+  const auto authority =
+      host == nullptr ? std::string() : routing::NormalizedHost(*host);
+  std::uint64_t hash = 0;
+  for (const std::string_view part :
+       {std::string_view(authority), account, std::string_view(request.method),
+        std::string_view(request.target), std::string_view(request.body)}) {
+    // Each part is hashed apart, so that moving bytes from one to the next
+    // changes the result.
+    hash = XXH64(part.data(), part.size(), hash);
+  }
+  return hash;
 }
 
 }  // namespace
@@ -233,7 +246,10 @@
     this->RejectAsUnavailable(id, request, Reason::kNoSuchService);
     return;
   }
-  const auto fingerprint = ComputeFingerprint(request);
+  auto account_name = account != nullptr ? account->name
+                      : parent           ? parent->account
+                                         : std::string();
+  const auto fingerprint = ComputeFingerprint(request, account_name);
   std::optional<NodeAddress> trial_node;
   if (!this->FindTrialNode(now, id, request, fingerprint, *service,
                            trial_node) ||
@@ -244,9 +260,6 @@
       ParseMilliseconds(FindHeader(request.headers, this->dialect.deadline));
   const auto time_limit =
       std::min(route->timeout, caller_deadline.value_or(route->timeout));
-  auto account_name = account != nullptr ? account->name
-                      : parent           ? parent->account
-                                         : std::string();
   this->SetForwardedHeaders(request.headers, account_name);
   if (!parent) {
     this->budget.AddRequest(now, *service);
--- a/libraries/routing/route_table.cc
+++ b/libraries/routing/route_table.cc
@@ -7,6 +7,12 @@
 
 namespace {
 
+std::string_view PathOf(std::string_view target) {
+  return target.substr(0, target.find('?'));
+}
+
+}  // namespace
+
 std::string NormalizedHost(std::string_view host) {
   host = host.substr(0, host.find(':'));
   std::string normalized(host);
@@ -18,12 +24,6 @@
   return normalized;
 }
 
-std::string_view PathOf(std::string_view target) {
-  return target.substr(0, target.find('?'));
-}
-
-}  // namespace
-
 RouteTable::RouteTable(std::shared_ptr<const Configuration> configuration)
     : configuration(std::move(configuration)) {
   for (const auto& route : this->configuration->routes) {
--- a/libraries/routing/route_table.h
+++ b/libraries/routing/route_table.h
@@ -11,6 +11,9 @@
 
 namespace agaterun::routing {
 
+// The value of a Host header in lower case and without its port.
+std::string NormalizedHost(std::string_view host);
+
 // Finds the route of a request: among the routes of its host, the one with the
 // longest matching path prefix.
 class RouteTable {
--- a/tests/calls/call_origin_test.cc
+++ b/tests/calls/call_origin_test.cc
@@ -824,6 +824,42 @@
   BOOST_TEST(this->output.sent.size() == 2U);
 }
 
+// Failure: a request that crashes backend servers closed the same path of
+// another host, or of another account, whose requests are harmless; and their
+// completions cleared it, so that it was never stopped.
+BOOST_FIXTURE_TEST_CASE(RequestsOfOtherHostsAndAccountsAreOthers,
+                        AccountsFixture) {
+  auto configuration = std::make_shared<routing::Configuration>();
+  configuration->routes = {this->RouteTo("read", /*requires_key=*/true)};
+  for (const auto* host : {"other.example", "desk.example.other"}) {
+    configuration->routes.push_back(configuration->routes.front());
+    configuration->routes.back().host = host;
+  }
+  configuration->accounts = {{.name = "acme", .keys = {"k-acme", "k-next"}},
+                             {.name = "bolt", .keys = {"k-bolt"}}};
+  this->origin.SetConfiguration(configuration, kKeySeed);
+  decision::CallId call = 0;
+  const auto fingerprint_of = [&](const char* host, const char* key,
+                                  const char* target = "/read/all",
+                                  const char* body = "") {
+    HttpRequest request{.method = "GET", .target = target, .body = body};
+    request.headers = {
+        {"Host", host}, {"Id", std::to_string(++call)}, {"Key", key}};
+    this->origin.OnRequest(this->now, call, std::move(request), std::nullopt);
+    const auto fingerprint = this->output.sent.back().visit.fingerprint;
+    this->DeliverReply(Outcome::kCompleted, Reason::kNone);
+    return fingerprint;
+  };
+  const auto crashing = fingerprint_of("desk.example", "k-acme");
+  // The same request, sent again.
+  BOOST_TEST(fingerprint_of("Desk.Example:8080", "k-next") == crashing);
+  BOOST_TEST(fingerprint_of("other.example", "k-acme") != crashing);
+  BOOST_TEST(fingerprint_of("desk.example.other", "k-acme") != crashing);
+  BOOST_TEST(fingerprint_of("desk.example", "k-bolt") != crashing);
+  BOOST_TEST(fingerprint_of("desk.example", "k-acme", "/read/al", "l") !=
+             crashing);
+}
+
 struct QuotaFixture : AccountsFixture {
   QuotaFixture() {
     this->limit = 10;
