--- a/libraries/calls/call_origin_entry.cc
+++ b/libraries/calls/call_origin_entry.cc
@@ -1,6 +1,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <utility>
 
@@ -45,10 +46,10 @@
   const auto* host = FindHeader(request.headers, "Host");
   const auto authority =
       host == nullptr ? std::string() : routing::NormalizedHost(*host);
+  const std::array<std::string_view, 5> parts = {
+      authority, account, request.method, request.target, request.body};
   std::uint64_t hash = 0;
-  for (const std::string_view part :
-       {std::string_view(authority), account, std::string_view(request.method),
-        std::string_view(request.target), std::string_view(request.body)}) {
+  for (const auto part : parts) {
     // Each part is hashed apart, so that moving bytes from one to the next
     // changes the result.
     hash = XXH64(part.data(), part.size(), hash);
