Proxy: The limits in force apply to each request, also on open connections

Cause: HttpConnection gave its parser the limits once, when the connection was accepted.

Evidence: on the code before, NewLimitsApplyToOpenConnections fails (1 request of 3 is accepted).

Why it works: the parser gets the limits in force before the first byte of each request.

--- a/libraries/http/request_parser.h
+++ b/libraries/http/request_parser.h
@@ -21,6 +21,9 @@
   RequestParser(RequestParser&& other) noexcept;
   RequestParser& operator=(RequestParser&& other) noexcept;
 
+  // Sets the limits of the requests that start from now on.
+  void SetLimits(MessageLimits new_limits) { this->limits = new_limits; }
+
   // Takes bytes and returns how many were used; the rest belongs to the next
   // request. Fails with ErrorKind::kMalformedMessage or kLimitReached, and
   // the connection can't be read further then.
--- a/libraries/proxy/http_connection.cc
+++ b/libraries/proxy/http_connection.cc
@@ -120,6 +120,10 @@
       break;
     }
     const bool had_started = this->parser.HasStarted();
+    if (!had_started) {
+      // The configuration may have changed since the request before.
+      this->parser.SetLimits(this->listener->GetOptions().limits);
+    }
     const auto used = this->parser.Feed(bytes);
     if (!used) {
       this->Reject(used.error());
--- a/libraries/proxy/http_listener.h
+++ b/libraries/proxy/http_listener.h
@@ -49,8 +49,8 @@
   // Fails with ErrorKind::kInputOutput.
   Result<void> Listen();
 
-  // Sets the limits for requests on new connections. The timeouts also apply to
-  // open connections.
+  // Sets the limits of requests that start from now on, and the timeouts, also
+  // on open connections.
   void SetLimits(http::MessageLimits limits,
                  Duration header_timeout,
                  Duration idle_timeout);
--- a/tests/proxy/http_listener_test.cc
+++ b/tests/proxy/http_listener_test.cc
@@ -140,6 +140,34 @@
   BOOST_TEST(this->sink.requests.empty());
 }
 
+// Failure: connections from before the first configuration, or from before one
+// that raised the limits, refused proper requests for as long as they lived.
+BOOST_FIXTURE_TEST_CASE(NewLimitsApplyToOpenConnections, Fixture) {
+  const std::string long_request =
+      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 150\r\n\r\n" +
+      std::string(150, 'b');
+  const std::string long_head =
+      "GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(600, 'x') + "\r\n\r\n";
+  RawCaller caller(this->io, this->address);
+  caller.Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+  BOOST_TEST(this->Until([&] { return this->sink.requests.size() == 1; }));
+  this->listener.SetLimits({.header_bytes = 1000, .body_bytes = 200}, 100ms,
+                           400ms);
+  // The first response is still due.
+  caller.Send(long_request + long_head);
+  BOOST_TEST(this->Until([&] { return this->sink.requests.size() == 3; }));
+  // They may also become lower.
+  this->listener.SetLimits({.header_bytes = 500, .body_bytes = 100}, 100ms,
+                           400ms);
+  caller.Send(long_request);
+  for (decision::CallId call = 1; call <= 3; ++call) {
+    this->listener.Respond(call, {.status = 200});
+  }
+  BOOST_TEST(this->Until([&] { return caller.ended; }));
+  BOOST_TEST((caller.received.find(" 413 ") != std::string::npos));
+  BOOST_TEST(this->sink.requests.size() == 3U);
+}
+
 BOOST_FIXTURE_TEST_CASE(IncompleteRequestTimesOut, Fixture) {
   RawCaller caller(this->io, this->address);
   caller.Send("GET / HTTP/1.1\r\nHo");
