Proxy: A node without a configuration rejects no request by built-in limits

What callers saw: a node that had just started answered 413 to a body of over 1 MiB, and 431 to a long head, whatever the configuration allows. These are not repeated, where 503 is.

Cause: until the first configuration the listener has built-in limits, and rejected by them for good.

Evidence: without the change UnknownLimitsRejectNoRequestForGood fails with 413 and 431 and without Retry-After, where 503 is due.

Why it works: what exceeds limits that no configuration has set is refused as unavailable (not run, with Retry-After), as every other request there is.

--- a/libraries/calls/call_origin_entry.cc
+++ b/libraries/calls/call_origin_entry.cc
@@ -20,10 +20,6 @@
 using decision::CallId;
 using decision::Reason;
 
-// Retry-After of requests that are refused before they become a call, when
-// there may be no state of the fleet to derive it from.
-constexpr Duration kRejectionRetryAfter = 300ms;
-
 std::optional<Duration> ParseMilliseconds(const std::string* text) {
   if (text == nullptr) {
     return std::nullopt;
--- a/libraries/calls/error_response.h
+++ b/libraries/calls/error_response.h
@@ -7,6 +7,10 @@
 
 namespace agaterun::calls {
 
+// Retry-After of requests that are refused before they become a call, when
+// there may be no state of the fleet to derive it from.
+inline constexpr Duration kRejectionRetryAfter = 300ms;
+
 // Response of this node itself, with `reason` as its text. Advises the caller
 // to retry after `retry_after` unless that is zero.
 HttpResponse MakeErrorResponse(int status,
--- a/libraries/proxy/http_connection.cc
+++ b/libraries/proxy/http_connection.cc
@@ -8,6 +8,7 @@
 
 #include "libraries/base/clock.h"
 #include "libraries/base/http_status.h"
+#include "libraries/calls/error_response.h"
 #include "libraries/http/message_writer.h"
 
 namespace agaterun::proxy {
@@ -122,7 +123,9 @@
     const bool had_started = this->parser.HasStarted();
     if (!had_started) {
       // The configuration may have changed since the request before.
-      this->parser.SetLimits(this->listener->GetOptions().limits);
+      const auto& options = this->listener->GetOptions();
+      this->parser.SetLimits(options.limits);
+      this->has_configured_limits = options.has_configured_limits;
     }
     const auto used = this->parser.Feed(bytes);
     if (!used) {
@@ -166,6 +169,12 @@
 }
 
 void HttpConnection::Reject(const Error& error) {
+  if (error.kind == ErrorKind::kLimitReached && !this->has_configured_limits) {
+    this->RejectWith(calls::MakeErrorResponse(
+        http_status::kUnavailable, decision::Reason::kWaitingForState,
+        calls::kRejectionRetryAfter));
+    return;
+  }
   int status = http_status::kBadRequest;
   if (error.kind == ErrorKind::kLimitReached) {
     status = this->parser.HeadIsDone() ? http_status::kContentTooLarge
@@ -175,9 +184,13 @@
 }
 
 void HttpConnection::RejectWith(int status, const std::string& message) {
-  this->reading_stopped = true;
   HttpResponse response{.status = status, .body = message + "\n"};
   response.headers.push_back({"Content-Type", "text/plain"});
+  this->RejectWith(std::move(response));
+}
+
+void HttpConnection::RejectWith(HttpResponse response) {
+  this->reading_stopped = true;
   this->pending.push_back(
       {.keep_alive = false,
        .response = std::make_shared<const HttpResponse>(std::move(response))});
--- a/libraries/proxy/http_connection.h
+++ b/libraries/proxy/http_connection.h
@@ -60,6 +60,7 @@
   void SubmitRequest();
   void Reject(const Error& error);
   void RejectWith(int status, const std::string& message);
+  void RejectWith(HttpResponse response);
   // Appends the responses that are ready to the output, in order of requests.
   void Flush();
   void Write();
@@ -73,6 +74,7 @@
   HttpListener* listener;
   asio::ip::tcp::socket socket;
   http::RequestParser parser;
+  bool has_configured_limits = false;  // The parser, for this request.
   // Unparsed input, kept while the limit of pipelined requests is reached.
   std::string read_ahead;
   std::deque<Pending> pending;
--- a/libraries/proxy/http_listener.cc
+++ b/libraries/proxy/http_listener.cc
@@ -63,6 +63,7 @@
                              Duration header_timeout,
                              Duration idle_timeout) {
   this->options.limits = limits;
+  this->options.has_configured_limits = true;
   this->options.header_timeout = header_timeout;
   this->options.idle_timeout = idle_timeout;
 }
--- a/libraries/proxy/http_listener.h
+++ b/libraries/proxy/http_listener.h
@@ -33,6 +33,9 @@
     // Requests in flight on one connection.
     std::size_t max_pipelined = 32;
     http::MessageLimits limits;
+    // False until SetLimits sets those of a configuration. What exceeds the
+    // limits may be allowed then, so that it is refused as unavailable.
+    bool has_configured_limits = true;
     Duration header_timeout = 3s;
     Duration idle_timeout = 15s;
     Duration write_timeout = 10s;  // For a caller that stops reading.
--- a/libraries/proxy/proxy_node.cc
+++ b/libraries/proxy/proxy_node.cc
@@ -122,7 +122,8 @@
       this->io,
       HttpListener::Options{
           .listen = this->settings.caller,
-          .max_connections = this->settings.caller_connections},
+          .max_connections = this->settings.caller_connections,
+          .has_configured_limits = false},
       this->call_ids, *this);
   this->probe_server = this->MakeProbeServer(this->settings.probe);
   if (auto listening = this->callers->Listen(); !listening) {
--- a/tests/proxy/http_listener_test.cc
+++ b/tests/proxy/http_listener_test.cc
@@ -168,6 +168,40 @@
   BOOST_TEST(this->sink.requests.size() == 3U);
 }
 
+// Failure: a node without a configuration rejected proper requests for good, by
+// built-in limits, where it refuses all others as unavailable.
+BOOST_FIXTURE_TEST_CASE(UnknownLimitsRejectNoRequestForGood, Fixture) {
+  const auto other_address = fakes::FreeAddress(0x7f000001);
+  HttpListener unconfigured{this->io,
+                            {.listen = other_address,
+                             .limits = {.header_bytes = 500, .body_bytes = 100},
+                             .has_configured_limits = false},
+                            this->call_ids,
+                            this->sink};
+  BOOST_TEST_REQUIRE(unconfigured.Listen().has_value());
+  const auto response_to = [&](const std::string& request) {
+    RawCaller caller(this->io, other_address);
+    caller.Send(request);
+    BOOST_TEST(this->Until([&] { return caller.ended; }));
+    return caller.received;
+  };
+  const std::string long_body =
+      "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 101\r\n\r\n";
+  const std::string long_head =
+      "GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(600, 'x') + "\r\n\r\n";
+  for (const auto& request : {long_body, long_head}) {
+    const auto response = response_to(request);
+    BOOST_TEST((response.find(" 503 ") != std::string::npos), response);
+    BOOST_TEST((response.find("Retry-After: ") != std::string::npos), response);
+  }
+  BOOST_TEST(
+      (response_to("nonsense\r\n\r\n").find(" 400 ") != std::string::npos));
+  unconfigured.SetLimits({.header_bytes = 500, .body_bytes = 100}, 100ms,
+                         400ms);
+  BOOST_TEST((response_to(long_body).find(" 413 ") != std::string::npos));
+  BOOST_TEST(this->sink.requests.empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(IncompleteRequestTimesOut, Fixture) {
   RawCaller caller(this->io, this->address);
   caller.Send("GET / HTTP/1.1\r\nHo");
