Calls: Nothing is sent for a call after its deadline

Cause: a reply, a lost link or an answered capacity query that is handled after the deadline of its call, and before the deadline's timer, sent the next attempt with a negative remaining time. After a suspension all of them are due at once. The receiver takes that for a malformed frame and closes the connection.

Evidence: on the code before, NothingIsSentAfterTheDeadline fails (4 visits sent, 2 due, both calls unanswered).

Why it works: SendAttempt, through which each attempt goes, ends an expired call instead: 503 if it has not run, 504 if it may have. The receiver is as strict as before.

--- a/libraries/calls/call_origin_attempts.cc
+++ b/libraries/calls/call_origin_attempts.cc
@@ -51,6 +51,12 @@
                              Call& call,
                              NodeAddress node,
                              bool is_capacity_query) {
+  if (call.deadline <= now) {
+    // Its deadline timer is due as well, but has not run yet.
+    call.reason = Reason::kDeadlineExceeded;
+    this->EndExpiredCall(now, call);
+    return;
+  }
   call.attempt = Attempt{.node = node,
                          .is_capacity_query = is_capacity_query,
                          .number = ++call.attempts,
--- a/tests/calls/call_origin_test.cc
+++ b/tests/calls/call_origin_test.cc
@@ -297,6 +297,25 @@
   BOOST_TEST((this->output.sent.back().visit.remaining == 1s));
 }
 
+// Failure: a reply that was read after the deadline of its call, such as after
+// a suspension, sent a visit with a negative remaining time. The other node
+// took that for a malformed message and closed the connection, with the
+// responses to all other requests on it.
+BOOST_FIXTURE_TEST_CASE(NothingIsSentAfterTheDeadline, Fixture) {
+  this->SendRequest(1, "/read/1");
+  this->SendRequest(2, "/read/2");
+  const auto first = this->output.sent.at(0).visit.attempt;
+  this->now += 1100ms;
+  this->RecordMessagesOfAll();
+  this->DeliverReply(Outcome::kNotRun, Reason::kOverloaded);
+  this->origin.OnAttemptLost(this->now, first, /*was_sent=*/false);
+  BOOST_TEST(this->output.sent.size() == 2U);
+  for (const decision::CallId call : {1, 2}) {
+    BOOST_TEST(this->ResponseStatus(call) == 503);
+  }
+  BOOST_TEST(this->origin.CallsInFlight() == 0U);
+}
+
 BOOST_FIXTURE_TEST_CASE(RejectsRequestsWithoutRouteOrId, Fixture) {
   this->SendRequest(1, "/unknown/1");
   BOOST_TEST(this->ResponseStatus(1) == 404);
