--- a/tests/retries/crash_history_test.cc
+++ b/tests/retries/crash_history_test.cc
@@ -10,9 +10,9 @@
 
 constexpr std::uint64_t kPoison = 66;
 constexpr NodeAddress kReporter{.ip = 1, .port = 7300};
-const std::vector<NodeAddress> kEndpoints = {{.ip = 1, .port = 7300},
-                                             {.ip = 2, .port = 7300},
-                                             {.ip = 3, .port = 7300}};
+const std::vector<NodeAddress> three_endpoints = {{.ip = 1, .port = 7300},
+                                                  {.ip = 2, .port = 7300},
+                                                  {.ip = 3, .port = 7300}};
 
 // Records a crash of the local backend server while the poison request and a
 // few others are running.
@@ -112,20 +112,20 @@
                                 {.id = ip, .fingerprints = {kPoison}});
   }
   BOOST_TEST(history.IsQuarantined(101s, kPoison));
-  BOOST_TEST(!history.TrialNode(101s, kPoison, kEndpoints).has_value());
-  BOOST_TEST(history.TrialNode(103s, kPoison, kEndpoints)->ip == 1U);
+  BOOST_TEST(!history.TrialNode(101s, kPoison, three_endpoints).has_value());
+  BOOST_TEST(history.TrialNode(103s, kPoison, three_endpoints)->ip == 1U);
   // The endpoint of the first node may be lost for good.
-  BOOST_TEST(history.TrialNode(108s, kPoison, kEndpoints)->ip == 2U);
+  BOOST_TEST(history.TrialNode(108s, kPoison, three_endpoints)->ip == 2U);
   history.RecordCompletion(108s, kPoison);
   BOOST_TEST(!history.IsQuarantined(108s, kPoison));
-  BOOST_TEST(!history.TrialNode(108s, kPoison, kEndpoints).has_value());
+  BOOST_TEST(!history.TrialNode(108s, kPoison, three_endpoints).has_value());
 }
 
 // Failure: a harmless request was refused for two minutes after all endpoints
 // that had run it were lost for good, since no other endpoint could try it.
 BOOST_AUTO_TEST_CASE(EndpointsThatAreLeftTryQuarantinedRequest) {
   CrashHistory history;
-  for (const auto& lost : kEndpoints) {
+  for (const auto& lost : three_endpoints) {
     history.RecordReportedCrash(100s, lost,
                                 {.id = lost.ip, .fingerprints = {kPoison}});
   }
@@ -147,8 +147,9 @@
   // doesn't know.
   BOOST_TEST(chosen.size() == 4U);
   // One of those that crashed is back.
-  left.push_back(kEndpoints.front());
-  BOOST_TEST((history.TrialNode(103s, kPoison, left) == kEndpoints.front()));
+  left.push_back(three_endpoints.front());
+  BOOST_TEST(
+      (history.TrialNode(103s, kPoison, left) == three_endpoints.front()));
   BOOST_TEST(!history.TrialNode(103s, kPoison, {}).has_value());
 }
 
@@ -160,13 +161,13 @@
     history.RecordReportedCrash(95s + id * 1s, kReporter,
                                 {.id = id, .fingerprints = {kPoison}});
   }
-  BOOST_TEST(history.TrialNode(101s, kPoison, kEndpoints).has_value());
+  BOOST_TEST(history.TrialNode(101s, kPoison, three_endpoints).has_value());
   history.RecordReportedCrash(102s, kReporter,
                               {.id = 4, .fingerprints = {kPoison}});
   for (int second = 102; second < 222; ++second) {
     const Instant now = std::chrono::seconds(second);
     BOOST_TEST(history.IsQuarantined(now, kPoison));
-    BOOST_TEST(!history.TrialNode(now, kPoison, kEndpoints).has_value());
+    BOOST_TEST(!history.TrialNode(now, kPoison, three_endpoints).has_value());
   }
 }
 
