Retries: Nodes pass on that the trial of a crashing request has failed

Cause: each node counts the crashes that are reported to it. In a large fleet a report reaches a part of the nodes, and a process that starts knows none.

The tests of convictions are new with the functions.

Why it works: once its trial has failed, heartbeats carry the request with the time that its quarantine has left, until that ends. Nodes that have completed it recently report it as cleared instead.

--- a/libraries/proxy/proxy_node_fleet.cc
+++ b/libraries/proxy/proxy_node_fleet.cc
@@ -27,6 +27,9 @@
   for (const auto& [fingerprint, remaining] : heartbeat.quarantined) {
     if (remaining == Duration{}) {
       this->crashes.RecordCompletion(this->Now(), fingerprint);
+    } else {
+      this->crashes.RecordReportedConviction(this->Now(), fingerprint,
+                                             remaining);
     }
   }
   this->LogQuarantines();
@@ -159,6 +162,9 @@
   for (const auto fingerprint : this->crashes.ClearedRequests(now)) {
     heartbeat.quarantined.emplace_back(fingerprint, Duration{});
   }
+  for (const auto& [fingerprint, remaining] : this->crashes.Convictions(now)) {
+    heartbeat.quarantined.emplace_back(fingerprint, remaining);
+  }
   this->directory.FillHeartbeat(now, heartbeat);
   const auto* receiver = this->fleet.Find(target.node);
   if (receiver != nullptr && receiver->service == this->gate.Service()) {
--- a/libraries/retries/crash_history.cc
+++ b/libraries/retries/crash_history.cc
@@ -55,6 +55,7 @@
 constexpr std::size_t kMaxCrashesPerSuspect = 32;
 constexpr std::size_t kMaxReportersPerSuspect = 4;
 constexpr std::size_t kMaxClearedRequests = 32;
+constexpr std::size_t kMaxReportedConvictions = 16;
 
 }  // namespace
 
@@ -135,17 +136,22 @@
   }
 }
 
+void CrashHistory::LimitSuspects(Instant now) {
+  if (this->suspects.size() <= kMaxSuspects) {
+    return;
+  }
+  std::erase_if(this->suspects, [&](const auto& item) {
+    return now - item.second.last_crash > kQuarantineDuration ||
+           item.second.crashes_since_completion < kCrashesToQuarantine;
+  });
+}
+
 void CrashHistory::RecordSuspects(
     Instant now,
     NodeAddress reporter,
     std::uint64_t crash_id,
     const std::vector<std::uint64_t>& fingerprints) {
-  if (this->suspects.size() > kMaxSuspects) {
-    std::erase_if(this->suspects, [&](const auto& item) {
-      return now - item.second.last_crash > kQuarantineDuration ||
-             item.second.crashes_since_completion < kCrashesToQuarantine;
-    });
-  }
+  this->LimitSuspects(now);
   for (const auto fingerprint : fingerprints) {
     if (this->completions.Contains(now, fingerprint)) {
       continue;
@@ -176,12 +182,59 @@
   found->second.reporters.clear();
   found->second.trial_failed = false;
   this->cleared += 1;
+  this->ReportCleared(now, fingerprint);
+}
+
+void CrashHistory::ReportCleared(Instant now, std::uint64_t fingerprint) {
   this->cleared_requests.push_back({.time = now, .fingerprint = fingerprint});
   if (this->cleared_requests.size() > kMaxClearedRequests) {
     this->cleared_requests.pop_front();
   }
 }
 
+void CrashHistory::RecordReportedConviction(Instant now,
+                                            std::uint64_t fingerprint,
+                                            Duration remaining) {
+  if (remaining > kQuarantineDuration) {
+    return;
+  }
+  if (this->completions.Contains(now, fingerprint)) {
+    const auto is_reported = [&](const ClearedRequest& request) {
+      return request.fingerprint == fingerprint &&
+             now - request.time <= kMaxReportAge;
+    };
+    if (std::none_of(this->cleared_requests.begin(),
+                     this->cleared_requests.end(), is_reported)) {
+      this->ReportCleared(now, fingerprint);
+    }
+    return;
+  }
+  this->LimitSuspects(now);
+  auto& suspect = this->suspects[fingerprint];
+  if (suspect.trial_failed && this->IsQuarantined(now, fingerprint)) {
+    return;
+  }
+  suspect.trial_failed = true;
+  suspect.crashes_since_completion =
+      std::max(suspect.crashes_since_completion, kCrashesToQuarantine);
+  suspect.last_crash =
+      std::max(suspect.last_crash, now + remaining - kQuarantineDuration);
+}
+
+std::vector<CrashHistory::Conviction> CrashHistory::Convictions(
+    Instant now) const {
+  std::vector<Conviction> convictions;
+  for (const auto& [fingerprint, suspect] : this->suspects) {
+    const auto remaining = suspect.last_crash + kQuarantineDuration - now;
+    if (suspect.trial_failed && remaining > Duration{} &&
+        convictions.size() < kMaxReportedConvictions) {
+      convictions.push_back(
+          {.fingerprint = fingerprint, .remaining = remaining});
+    }
+  }
+  return convictions;
+}
+
 bool CrashHistory::IsQuarantined(Instant now, std::uint64_t fingerprint) const {
   const auto found = this->suspects.find(fingerprint);
   return found != this->suspects.end() &&
--- a/libraries/retries/crash_history.h
+++ b/libraries/retries/crash_history.h
@@ -50,6 +50,13 @@
   // as this node or another one has observed. That clears it of suspicion.
   void RecordCompletion(Instant now, std::uint64_t fingerprint);
 
+  // Records that another node has found the trial of the request to have
+  // failed, and refuses it for this long. Has no effect if it is known here, or
+  // if the request was completed recently, which is then reported as cleared.
+  void RecordReportedConviction(Instant now,
+                                std::uint64_t fingerprint,
+                                Duration remaining);
+
   // True while the request is quarantined.
   bool IsQuarantined(Instant now, std::uint64_t fingerprint) const;
 
@@ -72,6 +79,15 @@
   // heartbeats.
   std::vector<std::uint64_t> ClearedRequests(Instant now);
 
+  // Requests whose trial has failed, and how long they are still refused, to be
+  // reported in heartbeats: a crash is reported to a part of a large fleet, and
+  // processes that start know of none.
+  struct Conviction {
+    std::uint64_t fingerprint = 0;
+    Duration remaining{};
+  };
+  std::vector<Conviction> Convictions(Instant now) const;
+
   // Number of requests that were running at a recent crash.
   std::size_t SuspectCount() const { return this->suspects.size(); }
 
@@ -115,6 +131,7 @@
       std::uint64_t fingerprint,
       const Suspect& suspect,
       std::vector<NodeAddress> endpoints);
+  void ReportCleared(Instant now, std::uint64_t fingerprint);
   // The requests of the crash that are reported now.
   static decision::CrashReport ReportPart(Instant now, const LocalCrash& crash);
   void AttributeExchange(Instant now,
@@ -124,6 +141,8 @@
                    NodeAddress reporter,
                    std::uint64_t fingerprint,
                    Suspect& suspect);
+  // Drops the least important suspects if there are too many.
+  void LimitSuspects(Instant now);
   void RecordSuspects(Instant now,
                       NodeAddress reporter,
                       std::uint64_t crash_id,
--- a/tests/retries/crash_fleet.cc
+++ b/tests/retries/crash_fleet.cc
@@ -202,6 +202,7 @@
   auto& sender = this->nodes[from].history;
   const auto crashes = sender.HeartbeatEntries(this->now);
   const auto cleared = sender.ClearedRequests(this->now);
+  const auto convictions = sender.Convictions(this->now);
   const double part =
       this->options.heartbeat_targets == 0
           ? 1
@@ -216,6 +217,9 @@
     for (const auto& crash : crashes) {
       receiver.RecordReportedCrash(this->now, AddressOf(from), crash);
     }
+    for (const auto& [fingerprint, remaining] : convictions) {
+      receiver.RecordReportedConviction(this->now, fingerprint, remaining);
+    }
     for (const auto fingerprint : cleared) {
       receiver.RecordCompletion(this->now, fingerprint);
     }
--- a/tests/retries/crash_fleet_test.cc
+++ b/tests/retries/crash_fleet_test.cc
@@ -39,6 +39,24 @@
   }
 }
 
+// Failure: a crashing request found nodes that knew of too few crashes, since
+// each heartbeat reaches a part of a large fleet.
+BOOST_AUTO_TEST_CASE(CrashingRequestIsStoppedInLargeFleet) {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      CrashFleet fleet({.nodes = 240,
+                        .endpoints = 30,
+                        .heartbeat_targets = 16,
+                        .crashing_interval = 3s,
+                        .seed = seed});
+      fleet.AdvanceTo(150s);
+      BOOST_TEST(fleet.CrashesCaused() >= 3);
+      BOOST_TEST(fleet.LateRetries() <= kMaxLateRetries);
+      CheckPopularIsServed(fleet, "popular");
+    }
+  }
+}
+
 // Failure: a popular request was refused for two minutes after crashes with
 // another cause, one after the other or at the same moment.
 BOOST_AUTO_TEST_CASE(PopularRequestIsServedAfterAnySequenceOfCrashes) {
--- a/tests/retries/crash_history_test.cc
+++ b/tests/retries/crash_history_test.cc
@@ -171,6 +171,85 @@
   }
 }
 
+// Has the poison request crash the endpoint that tries it.
+void Convict(CrashHistory& history, Instant now) {
+  for (std::uint64_t id = 1; id <= 4; ++id) {
+    history.RecordReportedCrash(now + id * 3s - 12s, kReporter,
+                                {.id = id, .fingerprints = {kPoison}});
+  }
+}
+
+void SendConvictions(Instant now, const CrashHistory& from, CrashHistory& to) {
+  for (const auto& [fingerprint, remaining] : from.Convictions(now)) {
+    to.RecordReportedConviction(now, fingerprint, remaining);
+  }
+}
+
+// Failure: in a large fleet each heartbeat reaches a part of the nodes, and
+// processes that start know nothing, so that a crashing request found nodes
+// that did not refuse it.
+BOOST_AUTO_TEST_CASE(NodeThatKnowsNoCrashRefusesConvictedRequest) {
+  CrashHistory convicting;
+  Convict(convicting, 100s);
+  CrashHistory second;
+  CrashHistory third;
+  SendConvictions(101s, convicting, second);
+  SendConvictions(102s, second, third);
+  BOOST_TEST(third.IsQuarantined(102s, kPoison));
+  BOOST_TEST(!third.TrialNode(150s, kPoison, three_endpoints).has_value());
+  BOOST_TEST(third.IsQuarantined(219s, kPoison));
+  BOOST_TEST(!third.IsQuarantined(221s, kPoison));
+}
+
+// A quarantine ends although nodes report it to each other.
+BOOST_AUTO_TEST_CASE(ReportsDoNotProlongConviction) {
+  constexpr Duration kLatency = 20ms;
+  CrashHistory first;
+  CrashHistory second;
+  Convict(first, 100s);
+  for (Instant now = 101s; now < 230s; now += 300ms) {
+    const auto sent = first.Convictions(now);
+    for (const auto& [fingerprint, remaining] : sent) {
+      second.RecordReportedConviction(now + kLatency, fingerprint, remaining);
+    }
+    SendConvictions(now + kLatency, second, first);
+  }
+  BOOST_TEST(!first.IsQuarantined(221s, kPoison));
+  BOOST_TEST(!second.IsQuarantined(221s, kPoison));
+}
+
+// Before a trial has failed, nodes don't agree on a reason to refuse a request.
+BOOST_AUTO_TEST_CASE(RequestIsReportedOnceItsTrialFailed) {
+  CrashHistory history;
+  for (std::uint64_t id = 1; id <= 3; ++id) {
+    history.RecordReportedCrash(100s, kReporter,
+                                {.id = id, .fingerprints = {kPoison}});
+  }
+  BOOST_TEST(history.IsQuarantined(101s, kPoison));
+  BOOST_TEST(history.Convictions(101s).empty());
+  history.RecordReportedCrash(103s, kReporter,
+                              {.id = 4, .fingerprints = {kPoison}});
+  BOOST_TEST(history.Convictions(103s).size() == 1U);
+}
+
+// The opposite: a node at which the request was completed doesn't refuse it,
+// and clears it at the nodes that do.
+BOOST_AUTO_TEST_CASE(CompletionRefutesReportedConviction) {
+  CrashHistory convicting;
+  Convict(convicting, 100s);
+  CrashHistory completing;
+  completing.RecordCompletion(99s, kPoison);
+  SendConvictions(101s, convicting, completing);
+  BOOST_TEST(!completing.IsQuarantined(101s, kPoison));
+  const auto cleared = completing.ClearedRequests(101s);
+  BOOST_TEST_REQUIRE(cleared.size() == 1U);
+  SendConvictions(102s, convicting, completing);
+  BOOST_TEST(completing.ClearedRequests(102s).size() == 1U);
+  convicting.RecordCompletion(102s, cleared.front());
+  BOOST_TEST(!convicting.IsQuarantined(102s, kPoison));
+  BOOST_TEST(convicting.Convictions(102s).empty());
+}
+
 // Failure: a popular request became a suspect at each crash, so that crashes at
 // the same moment, or one during its trial, put it into quarantine.
 BOOST_AUTO_TEST_CASE(RequestCompletedShortlyBeforeIsNoSuspect) {
