--- a/libraries/calls/call_origin_entry.cc
+++ b/libraries/calls/call_origin_entry.cc
@@ -78,6 +78,20 @@
                       kRejectionRetryAfter);
 }
 
+bool CallOrigin::AcceptsCallOf(CallId id,
+                               const HttpRequest& request,
+                               const std::optional<NestedCallParent>& parent) {
+  if (this->stopping && !parent) {
+    this->RejectAsUnavailable(id, request, Reason::kLeaving);
+    return false;
+  }
+  if (parent && parent->is_abandoned) {
+    this->RejectAsUnavailable(id, request, Reason::kCancelled);
+    return false;
+  }
+  return true;
+}
+
 const routing::Route* CallOrigin::FindRoute(const HttpRequest& request) const {
   const auto* host = FindHeader(request.headers, "Host");
   return host == nullptr ? nullptr : this->routes->Find(*host, request.target);
@@ -222,12 +236,7 @@
   if (parent) {
     this->output.NestedCallStarted();
   }
-  if (this->stopping && !parent) {
-    this->RejectAsUnavailable(id, request, Reason::kLeaving);
-    return;
-  }
-  if (parent && parent->is_abandoned) {
-    this->RejectAsUnavailable(id, request, Reason::kCancelled);
+  if (!this->AcceptsCallOf(id, request, parent)) {
     return;
   }
   const auto* route = this->FindRoute(request);
