Retries: Convictions that other nodes report are logged and cost little

Found while reading the change: a node that learned of a failed trial by a report neither logged the quarantine (event 604) nor counted it, and each heartbeat went through all suspects, up to 8192, for each receiver. With exactly no time left a conviction would have been sent as a completion.

Convictions are kept in a list of their own, the latest 16, and are logged and counted where they are learned. Tests: NodeThatKnowsNoCrashRefusesConvictedRequest (TakeNewQuarantines, Count), LatestConvictionsAreReported.

--- a/libraries/calls/call_origin.h
+++ b/libraries/calls/call_origin.h
@@ -187,9 +187,9 @@
   const routing::Route* FindRoute(const HttpRequest& request) const;
   // The checks below respond to the caller and return false when the request
   // is not to run.
-  bool AcceptsCallOf(decision::CallId id,
-                     const HttpRequest& request,
-                     const std::optional<NestedCallParent>& parent);
+  bool IsAccepting(decision::CallId id,
+                   const HttpRequest& request,
+                   const std::optional<NestedCallParent>& parent);
   bool IsAcceptable(decision::CallId id,
                     const HttpRequest& request,
                     const routing::Route* route);
--- a/libraries/calls/call_origin_entry.cc
+++ b/libraries/calls/call_origin_entry.cc
@@ -78,9 +78,9 @@
                       kRejectionRetryAfter);
 }
 
-bool CallOrigin::AcceptsCallOf(CallId id,
-                               const HttpRequest& request,
-                               const std::optional<NestedCallParent>& parent) {
+bool CallOrigin::IsAccepting(CallId id,
+                             const HttpRequest& request,
+                             const std::optional<NestedCallParent>& parent) {
   if (this->stopping && !parent) {
     this->RejectAsUnavailable(id, request, Reason::kLeaving);
     return false;
@@ -236,7 +236,7 @@
   if (parent) {
     this->output.NestedCallStarted();
   }
-  if (!this->AcceptsCallOf(id, request, parent)) {
+  if (!this->IsAccepting(id, request, parent)) {
     return;
   }
   const auto* route = this->FindRoute(request);
--- a/libraries/retries/crash_history.cc
+++ b/libraries/retries/crash_history.cc
@@ -123,16 +123,34 @@
                                Suspect& suspect) {
   // A quarantined request runs only on trial, so this is the crash of its
   // trial, unless its copies crashed several servers at once.
-  suspect.trial_failed |= this->IsQuarantined(now, fingerprint) &&
-                          now - suspect.last_crash > kTrialDelay;
+  if (this->IsQuarantined(now, fingerprint) &&
+      now - suspect.last_crash > kTrialDelay) {
+    this->RecordFailedTrial(fingerprint, suspect);
+  }
   suspect.last_crash = now;
   if (suspect.reporters.size() < kMaxReportersPerSuspect) {
     suspect.reporters.insert(reporter);
   }
   suspect.crashes_since_completion += 1;
   if (suspect.crashes_since_completion == kCrashesToQuarantine) {
-    this->new_quarantines.push_back(fingerprint);
-    this->quarantines += 1;
+    this->RecordQuarantine(fingerprint);
+  }
+}
+
+void CrashHistory::RecordQuarantine(std::uint64_t fingerprint) {
+  this->new_quarantines.push_back(fingerprint);
+  this->quarantines += 1;
+}
+
+void CrashHistory::RecordFailedTrial(std::uint64_t fingerprint,
+                                     Suspect& suspect) {
+  if (suspect.trial_failed) {
+    return;
+  }
+  suspect.trial_failed = true;
+  this->failed_trials.push_back(fingerprint);
+  if (this->failed_trials.size() > kMaxReportedConvictions) {
+    this->failed_trials.pop_front();
   }
 }
 
@@ -211,26 +229,41 @@
   }
   this->LimitSuspects(now);
   auto& suspect = this->suspects[fingerprint];
-  if (suspect.trial_failed && this->IsQuarantined(now, fingerprint)) {
+  const bool was_quarantined = this->IsQuarantined(now, fingerprint);
+  if (was_quarantined && suspect.trial_failed) {
     return;
   }
-  suspect.trial_failed = true;
+  if (!was_quarantined) {
+    suspect.trial_failed = false;  // Of an earlier quarantine.
+    this->RecordQuarantine(fingerprint);
+  }
+  this->RecordFailedTrial(fingerprint, suspect);
   suspect.crashes_since_completion =
       std::max(suspect.crashes_since_completion, kCrashesToQuarantine);
   suspect.last_crash =
       std::max(suspect.last_crash, now + remaining - kQuarantineDuration);
 }
 
-std::vector<CrashHistory::Conviction> CrashHistory::Convictions(
-    Instant now) const {
+Duration CrashHistory::ConvictionTime(Instant now,
+                                      std::uint64_t fingerprint) const {
+  const auto found = this->suspects.find(fingerprint);
+  if (found == this->suspects.end() || !found->second.trial_failed) {
+    return Duration{};
+  }
+  return std::max(Duration{},
+                  found->second.last_crash + kQuarantineDuration - now);
+}
+
+std::vector<CrashHistory::Conviction> CrashHistory::Convictions(Instant now) {
+  // Without time left it would be reported as cleared.
+  std::erase_if(this->failed_trials, [&](std::uint64_t fingerprint) {
+    return this->ConvictionTime(now, fingerprint) == Duration{};
+  });
   std::vector<Conviction> convictions;
-  for (const auto& [fingerprint, suspect] : this->suspects) {
-    const auto remaining = suspect.last_crash + kQuarantineDuration - now;
-    if (suspect.trial_failed && remaining > Duration{} &&
-        convictions.size() < kMaxReportedConvictions) {
-      convictions.push_back(
-          {.fingerprint = fingerprint, .remaining = remaining});
-    }
+  for (const auto fingerprint : this->failed_trials) {
+    convictions.push_back(
+        {.fingerprint = fingerprint,
+         .remaining = this->ConvictionTime(now, fingerprint)});
   }
   return convictions;
 }
--- a/libraries/retries/crash_history.h
+++ b/libraries/retries/crash_history.h
@@ -86,7 +86,7 @@
     std::uint64_t fingerprint = 0;
     Duration remaining{};
   };
-  std::vector<Conviction> Convictions(Instant now) const;
+  std::vector<Conviction> Convictions(Instant now);
 
   // Number of requests that were running at a recent crash.
   std::size_t SuspectCount() const { return this->suspects.size(); }
@@ -131,12 +131,16 @@
       std::uint64_t fingerprint,
       const Suspect& suspect,
       std::vector<NodeAddress> endpoints);
+  // Time for which the request is still refused; zero if no trial has failed.
+  Duration ConvictionTime(Instant now, std::uint64_t fingerprint) const;
   void ReportCleared(Instant now, std::uint64_t fingerprint);
   // The requests of the crash that are reported now.
   static decision::CrashReport ReportPart(Instant now, const LocalCrash& crash);
   void AttributeExchange(Instant now,
                          std::uint64_t fingerprint,
                          LocalCrash& crash);
+  void RecordFailedTrial(std::uint64_t fingerprint, Suspect& suspect);
+  void RecordQuarantine(std::uint64_t fingerprint);
   void RecordCrash(Instant now,
                    NodeAddress reporter,
                    std::uint64_t fingerprint,
@@ -154,6 +158,7 @@
   std::deque<LocalCrash> local_crashes;
   std::deque<ClearedRequest> cleared_requests;
   std::unordered_map<std::uint64_t, Suspect> suspects;
+  std::deque<std::uint64_t> failed_trials;  // Fingerprints, latest last.
   std::vector<std::uint64_t> new_quarantines;
   std::uint64_t quarantines = 0;
   std::uint64_t cleared = 0;
--- a/tests/retries/crash_history_test.cc
+++ b/tests/retries/crash_history_test.cc
@@ -179,7 +179,7 @@
   }
 }
 
-void SendConvictions(Instant now, const CrashHistory& from, CrashHistory& to) {
+void SendConvictions(Instant now, CrashHistory& from, CrashHistory& to) {
   for (const auto& [fingerprint, remaining] : from.Convictions(now)) {
     to.RecordReportedConviction(now, fingerprint, remaining);
   }
@@ -197,10 +197,26 @@
   SendConvictions(102s, second, third);
   BOOST_TEST(third.IsQuarantined(102s, kPoison));
   BOOST_TEST(!third.TrialNode(150s, kPoison, three_endpoints).has_value());
+  BOOST_TEST((third.TakeNewQuarantines() == std::vector{kPoison}));
+  SendConvictions(103s, second, third);
+  BOOST_TEST(third.Count(103s).quarantines == 1U);
   BOOST_TEST(third.IsQuarantined(219s, kPoison));
   BOOST_TEST(!third.IsQuarantined(221s, kPoison));
 }
 
+// Heartbeats have to fit into a datagram.
+BOOST_AUTO_TEST_CASE(LatestConvictionsAreReported) {
+  CrashHistory history;
+  for (std::uint64_t fingerprint = 1; fingerprint <= 50; ++fingerprint) {
+    history.RecordReportedConviction(100s, fingerprint, 60s);
+  }
+  const auto convictions = history.Convictions(101s);
+  BOOST_TEST(convictions.size() == 16U);
+  BOOST_TEST(convictions.back().fingerprint == 50U);
+  BOOST_TEST((convictions.back().remaining == 59s));
+  BOOST_TEST(history.Convictions(161s).empty());
+}
+
 // A quarantine ends although nodes report it to each other.
 BOOST_AUTO_TEST_CASE(ReportsDoNotProlongConviction) {
   constexpr Duration kLatency = 20ms;
