Review: Show that a planned stop cuts answers that are read slowly

Cause: a node accepts requests after SIGTERM and ends at Grace - 500 ms whatever it is still writing.

--- a/review/stand_ins_3/endpoint.py
+++ b/review/stand_ins_3/endpoint.py
@@ -27,11 +27,12 @@
 
 class Endpoint:
     def __init__(self, store, record, *, name, service, ip, port, zone,
-                 slots=80, work_s=0.2):
+                 slots=80, work_s=0.2, response_bytes=0):
         self.store, self.record = store, record
         self.name, self.service = name, service
         self.ip, self.port, self.zone = ip, port, zone
         self.slots, self.work_s = slots, work_s
+        self.response_bytes = response_bytes  # 0: a short text.
         self.born = int(time.time() * 1000)
         self.state = "ready"
         self.sequence = 0
@@ -95,5 +96,6 @@
                 self.running -= 1
             stamp = f"{self.name}.{len(self.runs)}"
             self._write(writer, 200, {**echo, "X-Response-Stamp": stamp},
+                        bytes(self.response_bytes) or
                         f"answer to {request_id}\n".encode())
         await writer.drain()
