Review: Show that a pipelined request cuts the answer before it

Cause: the head timeout of a next request replaces the write timeout of the response that is being written.

--- a/review/stand_ins_3/endpoint.py
+++ b/review/stand_ins_3/endpoint.py
@@ -95,7 +95,8 @@
             finally:
                 self.running -= 1
             stamp = f"{self.name}.{len(self.runs)}"
+            size = int(headers.get("x-response-bytes", self.response_bytes))
             self._write(writer, 200, {**echo, "X-Response-Stamp": stamp},
-                        bytes(self.response_bytes) or
+                        bytes(size) or
                         f"answer to {request_id}\n".encode())
         await writer.drain()
