--- a/review/stand_ins_3/region.py
+++ b/review/stand_ins_3/region.py
@@ -23,7 +23,8 @@
 from store import Store
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
-ZONES = ("lj-a", "lj-b", "mb-a")
+REGION = "kigali"
+ZONES = ("gasabo", "kicukiro", "nyarugenge")
 HOST = "hulo84.example"
 
 
@@ -85,14 +86,14 @@
         ports = self.region.ports
         return {
             "Node": self.name, "Ip": self.ip, "Zone": self.zone,
-            "Region": "slo-central", "AppAddr": f"{self.ip}:{ports['app']}",
-            "Zones": {zone: "slo-central" for zone in ZONES},
+            "Region": REGION, "AppAddr": f"{self.ip}:{ports['app']}",
+            "Zones": {zone: REGION for zone in ZONES},
             "Service": self.service, "InternalPorts": [ports["node"]],
             "Limits": {"MemoryMb": self.region.memory_mb},
             "Listen": {"Outbound": f"{self.ip}:{ports['outbound']}",
                        "Ready": f"{self.ip}:{ports['ready']}"},
             "Platform": {"Address": self.region.store_address},
-            "Bounds": {"BudgetRatio": 0.2, "BudgetExtra": 50,
+            "Bounds": {"BudgetRatio": 0.2, "BudgetExtra": 48,
                        "BudgetWindow": "10s", "Grace": "6s"}}
 
     def start(self):
