Review: Show that long bodies and answers don't pass between nodes

Cause: a request or an answer between nodes is one frame of at most 4 MiB. After the loss of the endpoint beside the clients, requests of 5 MiB get 503 and requests whose answers have 5 MiB run and get 502, with sound endpoints idle.

The stand-ins end their processes on a signal.

--- a/review/stand_ins_3/client.py
+++ b/review/stand_ins_3/client.py
@@ -11,10 +11,10 @@
 
 class Client:
     def __init__(self, region, machine, name, *, method="POST",
-                 path="/puka111/2f", deadline_ms=6000, work_ms=None):
+                 path="/puka111/2f", deadline_ms=6000, response_bytes=None):
         self.region, self.machine, self.name = region, machine, name
         self.method, self.path = method, path
-        self.deadline_ms, self.work_ms = deadline_ms, work_ms
+        self.deadline_ms, self.response_bytes = deadline_ms, response_bytes
         self.reader = self.writer = None
         self.sent = 0
         self.sent_on_connection = 0
@@ -58,8 +58,8 @@
         lines = [f"{self.method} {self.path} HTTP/1.1", f"Host: {HOST}",
                  f"X-Request-Id: {request_id}",
                  f"X-Deadline-Ms: {self.deadline_ms}"]
-        if self.work_ms is not None:
-            lines.append(f"X-Work-Ms: {self.work_ms}")
+        if self.response_bytes is not None:
+            lines.append(f"X-Response-Bytes: {self.response_bytes}")
         if self.method != "GET":
             lines.append(f"Content-Length: {body_bytes}")
         return "\r\n".join(lines) + "\r\n\r\n"
--- a/review/stand_ins_3/endpoint.py
+++ b/review/stand_ins_3/endpoint.py
@@ -40,6 +40,7 @@
         self.runs = []  # (time, request id) of each run, at its start.
         self.server = None
         self.beats = None
+        self.writers = set()
 
     async def start(self):
         self.server = await asyncio.start_server(
@@ -47,6 +48,16 @@
         await self._register()
         self.beats = asyncio.create_task(self._beat())
 
+    async def lose(self):
+        """The endpoint is lost for good: it accepts no connections, and its
+        entry expires after three heartbeat intervals of silence."""
+        self.beats.cancel()
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        await asyncio.sleep(3 * HEARTBEAT_S)
+        await self.store.delete(f"servers/{self.name}")
+
     async def _register(self):
         self.sequence += 1
         await self.store.put(f"servers/{self.name}", {
@@ -61,6 +72,7 @@
             await self._register()
 
     async def _serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 words, headers, body = await read_message(reader)
@@ -68,6 +80,7 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     def _write(self, writer, status, headers, body):
@@ -89,9 +102,7 @@
             self.record(f"run {request_id} at {self.name}, "
                         f"{len(body)} bytes of body")
             try:
-                await asyncio.sleep(
-                    float(headers["x-work-ms"]) / 1000
-                    if "x-work-ms" in headers else self.work_s)
+                await asyncio.sleep(self.work_s)
             finally:
                 self.running -= 1
             stamp = f"{self.name}.{len(self.runs)}"
--- a/review/stand_ins_3/region.py
+++ b/review/stand_ins_3/region.py
@@ -204,6 +204,14 @@
 
     async def run():
         region = Region(folder, services, memory_mb)
+
+        def end():
+            region.record("ended by a signal")
+            region.stop()
+            os._exit(2)
+
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, end)
         try:
             return await play(region)
         except Exception as error:
