--- a/review/stand_ins_3/region.py
+++ b/review/stand_ins_3/region.py
@@ -203,7 +203,11 @@
     held, 2 if the case couldn't run."""
 
     async def run():
-        region = Region(folder, services, memory_mb)
+        try:
+            region = Region(folder, services, memory_mb)
+        except Exception as error:
+            print(f"could not run: {error!r}", flush=True)
+            return 2
 
         def end():
             region.record("ended by a signal")
